Make a move's outcome final only at the platform

Cause: with 'taken back wins every merge' a verdict that races the last compare-and-set would leave the operator told 'done' and the nodes routing as 'taken back', for ever. A final outcome now wins over one that is not; between outcomes that are not final 'taken back' wins as before. Ruled out: letting 'done' turn into 'taken back' at the platform, since the operator would be told twice.

--- a/src/config/preset.h
+++ b/src/config/preset.h
@@ -83,6 +83,10 @@
   int schema_version = kSchemaVersion;
   std::string name;
   std::string description;
+  // Data centres that the deployment has. Each request that may not be repeated
+  // has its home in one of them; leaving one out of a maintenance preset gives
+  // its requests another home.
+  std::vector<std::string> data_centres;
   std::vector<service> services;
   std::vector<route> routes;
   move_policy moves;
--- a/src/decisions/move.cc
+++ b/src/decisions/move.cc
@@ -1,17 +1,32 @@
 #include "decisions/move.h"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace fireflyspar::decisions {
+namespace {
 
-move Merge(const move& left, const move& right) {
+// True when the outcome of `left` goes before that of `right`.
+bool Outranks(const move& left, const move& right) {
+  const auto left_rank = std::tie(left.is_final, left.state);
+  const auto right_rank = std::tie(right.is_final, right.state);
+  if (left_rank != right_rank) return left_rank > right_rank;
   // Equal states may carry different evidence, when two judges spoke at once.
   // The lesser text is taken so that every node ends with the same one.
-  if (left.state != right.state) {
-    return left.state > right.state ? left : right;
-  }
-  return left.evidence <= right.evidence ? left : right;
+  return left.evidence < right.evidence;
+}
+
+}  // namespace
+
+move Merge(const move& left, const move& right) {
+  move merged = Outranks(left, right) ? left : right;
+  std::vector<std::string> ready;
+  std::ranges::set_union(left.ready_data_centres, right.ready_data_centres,
+                         std::back_inserter(ready));
+  merged.ready_data_centres = std::move(ready);
+  return merged;
 }
 
 }  // namespace fireflyspar::decisions
--- a/src/decisions/move.h
+++ b/src/decisions/move.h
@@ -1,18 +1,29 @@
 // A move shifts a service's calls from an old version to a new one by a set
-// time. The move itself is an object at the platform; its verdict is a value
-// that every node holds and merges by maximum, in which "taken back" wins.
+// time. The move itself is an object at the platform; what nodes tell each
+// other about it is a value that merges, so that late and crossed messages do
+// no harm.
+//
+// A verdict starts in the mesh and ends at the platform. Any node that sees
+// proof of a fault makes the move kTakenBack at once, and that spreads from
+// node to node without the platform. The outcome becomes final by one
+// compare-and-set at the platform, where either kTakenBack or kDone is written,
+// once; a final outcome replaces whatever nodes held before. Were "taken back"
+// to win over a final "done" as well, a verdict that raced the last
+// compare-and-set would leave the operator told one thing and the nodes doing
+// the other.
 #ifndef FIREFLYSPAR_DECISIONS_MOVE_H_
 #define FIREFLYSPAR_DECISIONS_MOVE_H_
 
 #include <string>
+#include <vector>
 
 #include "base/hooks.h"
 
 namespace fireflyspar::decisions {
 
-// Ordered: merging takes the greater. Done is written only by a conditional
-// update at the platform; a node that hears "taken back" after it keeps it.
-enum class move_state { kRunning, kDone, kTakenBack };
+// Ordered: of two outcomes that are not final the greater wins. kDone is
+// always final.
+enum class move_state { kRunning, kTakenBack, kDone };
 
 struct move {
   std::string id;  // Unique: service, then operation id.
@@ -23,7 +34,12 @@
   base::instant by;  // The whole share is to have moved by then.
   std::string operation_id;
   move_state state = move_state::kRunning;
-  std::string evidence;  // One sentence, once the move is done or taken back.
+  bool is_final = false;  // The outcome stands at the platform.
+  std::string evidence;   // One sentence, once the move is done or taken back.
+
+  // Data centres whose judges found the new version good at full share for the
+  // whole bake; sorted. The move is done when every data centre is in here.
+  std::vector<std::string> ready_data_centres;
 
   bool operator==(const move&) const = default;
 };
