Thin: a platform stand-in, its HTTP client and the relay

The system's objects live in the platform's object store; nothing could talk to one yet. A stand-in holds objects in memory over HTTP and JSON, parks waiting watches without holding a thread, and shows faults by switch.

Weighed: one watch or two. One over a common prefix costs one waiting call and is woken by nothing but configuration and moves, so in_force and moves/ now lie below watched/. Writes use a connection of their own, since cpprestsdk resends a request by itself when a reused connection breaks, and a second copy of a conditional write would be told of a conflict with the first.

The relay is not yet tested: the text forms of its objects are to come.

--- /dev/null
+++ b/lab/platform_command.cc
@@ -0,0 +1,74 @@
+// The lab's subcommand `platform`.
+#include <array>
+#include <iostream>
+#include <utility>
+
+// After <utility>, which a header of Boost's below it leaves out.
+#include <pplx/threadpool.h>
+#include <pthread.h>
+#include <signal.h>
+
+#include "base/settings.h"
+#include "lab/platform_stand_in.h"
+
+namespace fireflyspar::lab {
+namespace {
+
+using base::setting_kind;
+
+constexpr std::size_t kPoolThreads = 4;
+
+constexpr std::array kSettings = {
+    base::setting{.name = "address",
+                  .kind = setting_kind::kAddress,
+                  .default_text = "127.0.0.1:7000",
+                  .help = "where to listen"},
+    base::setting{.name = "faults",
+                  .default_text = "{}",
+                  .help = "faults to begin with, as JSON: "
+                          "{\"slow_ms\":200,\"reads_per_second\":2000}"},
+};
+
+// Signals are blocked before any thread starts, so that only this waits for
+// them.
+sigset_t BlockStopSignals() {
+  sigset_t stop_signals;
+  sigemptyset(&stop_signals);
+  sigaddset(&stop_signals, SIGTERM);
+  sigaddset(&stop_signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &stop_signals, nullptr);
+  return stop_signals;
+}
+
+}  // namespace
+
+int RunPlatform(std::span<const std::string> arguments) {
+  const auto line = base::ReadCommandLine(
+      {.program = "fireflyspar-lab platform",
+       .summary = "a stand-in for the platform's object API, in memory",
+       .table = kSettings},
+      arguments);
+  if (!line.parsed) return line.exit_code;
+  const auto faults = ParseFaults(line.parsed->Text("faults"));
+  if (!faults) {
+    std::cerr << "--faults: " << faults.Failure().detail << '\n';
+    return base::AnswerFor(base::error_kind::kBadSettings).exit_code;
+  }
+  const sigset_t stop_signals = BlockStopSignals();
+  crossplat::threadpool::initialize_with_threads(kPoolThreads);
+  platform_stand_in stand_in(
+      {.address = line.parsed->Address("address"), .faults = *faults});
+  const auto started = stand_in.Start();
+  if (!started) {
+    std::cerr << started.Failure().detail << '\n';
+    return base::AnswerFor(started.Failure().Kind()).exit_code;
+  }
+  std::cout << "platform listens on " << stand_in.Address().ToText()
+            << std::endl;
+  int signal = 0;
+  sigwait(&stop_signals, &signal);
+  stand_in.Stop();
+  return 0;
+}
+
+}  // namespace fireflyspar::lab
--- /dev/null
+++ b/lab/platform_stand_in.cc
@@ -0,0 +1,519 @@
+#include "lab/platform_stand_in.h"
+
+#include <arpa/inet.h>
+#include <cpprest/http_listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "lab/platform_store.h"
+
+namespace fireflyspar::lab {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+using web::http::http_request;
+using web::http::methods;
+using web::http::status_code;
+using web::http::status_codes;
+using web::http::experimental::listener::http_listener;
+
+constexpr std::string_view kObjectPath = "/objects/";
+constexpr milliseconds kMostWatchWait{120'000};
+
+// A port that is free now. The library's listener can't tell which port it got
+// for 0, so that one is asked of the kernel first.
+std::uint16_t FreePort() {
+  const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in wanted{};
+  wanted.sin_family = AF_INET;
+  wanted.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof wanted;
+  auto* generic = reinterpret_cast<sockaddr*>(&wanted);
+  ::bind(handle, generic, size);
+  ::getsockname(handle, generic, &size);
+  ::close(handle);
+  return ntohs(wanted.sin_port);
+}
+
+std::uint64_t NumberOf(std::string_view text) {
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+json ToJson(const platform::object& each) {
+  return {{"key", each.key}, {"version", each.version}, {"value", each.value}};
+}
+
+json ToJson(const std::vector<platform::object>& objects) {
+  json listed = json::array();
+  std::ranges::transform(
+      objects, std::back_inserter(listed),
+      [](const platform::object& each) { return ToJson(each); });
+  return {{"objects", std::move(listed)}};
+}
+
+std::string Text(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+bool IsUtf8(const std::string& text) {
+  try {
+    static_cast<void>(json(text).dump());
+    return true;
+  } catch (const json::exception&) {
+    return false;
+  }
+}
+
+struct answer {
+  status_code status = status_codes::OK;
+  std::string body = "{}";
+};
+
+answer ErrorAnswer(status_code status, std::string_view reason) {
+  return {.status = status, .body = Text({{"error", reason}})};
+}
+
+std::string QueryValue(const http_request& request, const std::string& name) {
+  const auto query = web::uri::split_query(request.relative_uri().query());
+  const auto found = query.find(name);
+  return found == query.end() ? "" : web::uri::decode(found->second);
+}
+
+std::uint64_t IfMatch(const http_request& request) {
+  const auto found = request.headers().find("If-Match");
+  return found == request.headers().end() ? 0 : NumberOf(found->second);
+}
+
+struct parked_watch {
+  http_request request;
+  std::string prefix;
+  std::uint64_t after = 0;
+};
+
+// A limit of calls in each second, by a token bucket of one second's worth.
+class rate_limit {
+ public:
+  bool Take(int per_second) {
+    if (per_second == 0) return true;
+    if (per_second < 0) return false;
+    const auto now = steady_clock::now();
+    const double passed =
+        std::chrono::duration<double>(now - filled_at_).count();
+    tokens_ = std::min<double>(per_second, tokens_ + passed * per_second);
+    filled_at_ = now;
+    if (tokens_ < 1) return false;
+    tokens_ -= 1;
+    return true;
+  }
+
+ private:
+  double tokens_ = 0;
+  steady_clock::time_point filled_at_{};
+};
+
+}  // namespace
+
+class platform_stand_in::state
+    : public std::enable_shared_from_this<platform_stand_in::state> {
+ public:
+  explicit state(platform_stand_in_options options)
+      : address_(std::move(options.address)), faults_(options.faults) {
+    if (address_.port == 0) address_.port = FreePort();
+  }
+
+  base::status Start() {
+    const base::status opened = Open();
+    if (opened) timer_ = std::thread([this] { RunTimer(); });
+    return opened;
+  }
+
+  void Stop() {
+    {
+      const std::lock_guard lock(mutex_);
+      if (stopping_) return;
+      stopping_ = true;
+    }
+    changed_.notify_all();
+    if (timer_.joinable()) timer_.join();
+    Close();
+  }
+
+  base::address Address() const { return address_; }
+
+  void SetFaults(const platform_faults& faults) {
+    std::list<http_request> hung;
+    {
+      const std::lock_guard lock(mutex_);
+      faults_ = faults;
+      hung.swap(hung_);
+      if (faults.refuse_ms > 0) {
+        const auto now = steady_clock::now();
+        timed_.emplace(now, [this] { Close(); });
+        timed_.emplace(now + milliseconds{faults.refuse_ms},
+                       [this] { Open(); });
+      }
+    }
+    changed_.notify_all();
+    AnswerAll(hung);
+  }
+
+  platform_stats Stats() const {
+    const std::lock_guard lock(mutex_);
+    return stats_;
+  }
+
+ private:
+  base::status Open() {
+    try {
+      auto listener = std::make_unique<http_listener>(
+          web::uri("http://" + address_.ToText()));
+      listener->support([weak = weak_from_this()](http_request request) {
+        if (const auto self = weak.lock()) self->Handle(request);
+      });
+      listener->open().wait();
+      listener_ = std::move(listener);
+      return base::nothing{};
+    } catch (const std::exception& error) {
+      return base::Fail(
+          base::error_kind::kBadSettings,
+          "cannot listen on " + address_.ToText() + ": " + error.what());
+    }
+  }
+
+  // Answers what waits, since the library closes only when nothing does.
+  void Close() {
+    std::list<http_request> waiting;
+    {
+      const std::lock_guard lock(mutex_);
+      waiting.swap(hung_);
+      for (numbered& each : parked_) waiting.push_back(each.request);
+      parked_.clear();
+    }
+    AnswerAll(waiting);
+    try {
+      if (listener_) listener_->close().wait();
+    } catch (const std::exception&) {
+      // Nothing is left to close.
+    }
+    listener_.reset();
+  }
+
+  static void AnswerAll(const std::list<http_request>& requests) {
+    std::ranges::for_each(requests, [](const http_request& each) {
+      Send(each, ErrorAnswer(status_codes::ServiceUnavailable, "stopped"));
+    });
+  }
+
+  // Runs what was put off: slow answers, the ends of watches, refusing.
+  void RunTimer() {
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+      if (timed_.empty()) {
+        changed_.wait(lock);
+        continue;
+      }
+      const auto first = timed_.begin();
+      if (first->first > steady_clock::now()) {
+        changed_.wait_until(lock, first->first);
+        continue;
+      }
+      const auto action = std::move(first->second);
+      timed_.erase(first);
+      lock.unlock();
+      action();
+      lock.lock();
+    }
+    auto rest = std::move(timed_);
+    lock.unlock();
+    std::ranges::for_each(rest, [](const auto& each) { each.second(); });
+  }
+
+  void Handle(const http_request& request) {
+    const std::string path = web::uri::decode(request.relative_uri().path());
+    if (path == "/faults" && request.method() == methods::POST) {
+      HandleFaults(request);
+      return;
+    }
+    if (path == "/stats") {
+      Send(request, {.body = StatsText()});
+      return;
+    }
+    request.extract_vector().then(
+        [self = shared_from_this(), request,
+         path](const pplx::task<std::vector<unsigned char>>& read) {
+          try {
+            const auto bytes = read.get();
+            self->HandleCall(request, path,
+                             std::string(bytes.begin(), bytes.end()));
+          } catch (const std::exception&) {
+            // The client went away within its request.
+          }
+        });
+  }
+
+  void HandleFaults(const http_request& request) {
+    request.extract_vector().then(
+        [self = shared_from_this(),
+         request](const pplx::task<std::vector<unsigned char>>& read) {
+          try {
+            const auto bytes = read.get();
+            const auto faults =
+                ParseFaults(std::string(bytes.begin(), bytes.end()));
+            Send(request, faults ? answer{}
+                                 : ErrorAnswer(status_codes::BadRequest,
+                                               faults.Failure().detail));
+            if (faults) self->SetFaults(*faults);
+          } catch (const std::exception&) {
+            // The client went away within its request.
+          }
+        });
+  }
+
+  void HandleCall(const http_request& request, const std::string& path,
+                  std::string body) {
+    std::unique_lock lock(mutex_);
+    Count(request, path, body.size());
+    if (faults_.hang) {
+      hung_.push_back(request);
+      return;
+    }
+    if (faults_.down) {
+      Reply(request, ErrorAnswer(status_codes::ServiceUnavailable, "down"));
+      return;
+    }
+    const bool is_write = request.method() != methods::GET;
+    if (!(is_write ? writes_.Take(faults_.writes_per_second)
+                   : reads_.Take(faults_.reads_per_second))) {
+      ++stats_.over_rate;
+      Reply(request, ErrorAnswer(status_codes::TooManyRequests, "over rate"));
+      return;
+    }
+    if (path == "/watch") {
+      HandleWatch(request);
+      return;
+    }
+    const answer made =
+        is_write ? Write(request, path, std::move(body)) : Read(request, path);
+    const bool effective = made.status == status_codes::OK;
+    if (is_write && effective && faults_.lose_answers > 0) {
+      --faults_.lose_answers;
+      hung_.push_back(request);
+    } else {
+      Reply(request, made);
+    }
+    if (is_write && effective) WakeWatches();
+  }
+
+  void Count(const http_request& request, const std::string& path,
+             std::size_t bytes) {
+    const std::string kind = path == "/watch"                   ? "watch"
+                             : path == "/objects"               ? "list"
+                             : request.method() == methods::GET ? "get"
+                             : request.method() == methods::PUT ? "put"
+                                                                : "remove";
+    ++stats_.calls[kind];
+    stats_.bytes_in += static_cast<std::int64_t>(bytes);
+    const auto now = steady_clock::now();
+    if (now - second_began_ >= std::chrono::seconds{1}) {
+      second_began_ = now;
+      calls_this_second_ = 0;
+    }
+    stats_.peak_calls_in_a_second =
+        std::max(stats_.peak_calls_in_a_second, ++calls_this_second_);
+  }
+
+  answer Read(const http_request& request, const std::string& path) const {
+    if (path == "/objects") {
+      return {.body = Text(ToJson(store_.List(QueryValue(request, "prefix"))))};
+    }
+    if (!path.starts_with(kObjectPath)) {
+      return ErrorAnswer(status_codes::NotFound, "no such path");
+    }
+    const auto found = store_.Get(path.substr(kObjectPath.size()));
+    if (found.version == 0) {
+      return ErrorAnswer(status_codes::NotFound, "no such object");
+    }
+    return {.body = Text(ToJson(found))};
+  }
+
+  answer Write(const http_request& request, const std::string& path,
+               std::string body) {
+    if (!path.starts_with(kObjectPath)) {
+      return ErrorAnswer(status_codes::NotFound, "no such path");
+    }
+    if (body.size() > kMaxValueBytes) {
+      return ErrorAnswer(status_codes::RequestEntityTooLarge, "too large");
+    }
+    if (!IsUtf8(body)) {
+      return ErrorAnswer(status_codes::BadRequest, "value is not UTF-8");
+    }
+    const std::string key = path.substr(kObjectPath.size());
+    const std::uint64_t version =
+        request.method() == methods::PUT
+            ? store_.Put(key, std::move(body), IfMatch(request))
+            : store_.Remove(key, IfMatch(request));
+    if (version == 0) return Conflict(request, key);
+    return {.body = Text({{"version", version}})};
+  }
+
+  answer Conflict(const http_request& request, const std::string& key) {
+    const std::uint64_t current = store_.Get(key).version;
+    if (current == 0 && request.method() == methods::DEL) {
+      return ErrorAnswer(status_codes::NotFound, "no such object");
+    }
+    ++stats_.conflicts;
+    return {.status = status_codes::Conflict,
+            .body = Text({{"error", "conflict"}, {"version", current}})};
+  }
+
+  void HandleWatch(const http_request& request) {
+    parked_watch watch{.request = request,
+                       .prefix = QueryValue(request, "prefix"),
+                       .after = NumberOf(QueryValue(request, "after"))};
+    const auto changed = store_.ChangedAfter(watch.prefix, watch.after);
+    if (!changed.empty()) {
+      Reply(request, WatchAnswer(watch));
+      return;
+    }
+    const milliseconds wait = std::min(
+        kMostWatchWait, milliseconds(NumberOf(QueryValue(request, "wait_ms"))));
+    const auto place = parked_.emplace(parked_.end(), std::move(watch));
+    const std::uint64_t number = ++parked_number_;
+    place->number = number;
+    timed_.emplace(steady_clock::now() + wait,
+                   [this, number] { EndWatch(number); });
+    changed_.notify_all();
+  }
+
+  void EndWatch(std::uint64_t number) {
+    const std::lock_guard lock(mutex_);
+    const auto place = std::ranges::find(parked_, number, &numbered::number);
+    if (place == parked_.end()) return;
+    Reply(place->request,
+          {.body = Text(ToJson(std::vector<platform::object>{}))});
+    parked_.erase(place);
+  }
+
+  void WakeWatches() {
+    std::erase_if(parked_, [this](const numbered& each) {
+      if (store_.ChangedAfter(each.prefix, each.after).empty()) return false;
+      Reply(each.request, WatchAnswer(each));
+      return true;
+    });
+  }
+
+  answer WatchAnswer(const parked_watch& watch) {
+    auto objects = faults_.stale_watch
+                       ? store_.StaleChangedAfter(watch.prefix, watch.after)
+                       : store_.ChangedAfter(watch.prefix, watch.after);
+    if (!faults_.crossed_watch) return {.body = Text(ToJson(objects))};
+    repeat_old_answer_ = !repeat_old_answer_;
+    if (repeat_old_answer_ && !old_answer_.empty()) {
+      return {.body = Text(ToJson(old_answer_))};
+    }
+    old_answer_ = objects;
+    std::ranges::reverse(objects);
+    std::ranges::copy(old_answer_, std::back_inserter(objects));
+    return {.body = Text(ToJson(objects))};
+  }
+
+  // Under the lock. The library's own reply does not block.
+  void Reply(const http_request& request, const answer& made) {
+    stats_.bytes_out += static_cast<std::int64_t>(made.body.size());
+    if (faults_.slow_ms == 0) {
+      Send(request, made);
+      return;
+    }
+    timed_.emplace(steady_clock::now() + milliseconds{faults_.slow_ms},
+                   [request, made] { Send(request, made); });
+    changed_.notify_all();
+  }
+
+  static void Send(const http_request& request, const answer& made) {
+    web::http::http_response response(made.status);
+    response.set_body(made.body, "application/json");
+    if (made.status == status_codes::TooManyRequests) {
+      response.headers().add("Retry-After", "1");
+    }
+    request.reply(response).then([](const pplx::task<void>& sent) {
+      try {
+        sent.get();
+      } catch (const std::exception&) {
+        // The client went away before its answer.
+      }
+    });
+  }
+
+  std::string StatsText() const {
+    const platform_stats stats = Stats();
+    return Text({{"calls", stats.calls},
+                 {"bytes_in", stats.bytes_in},
+                 {"bytes_out", stats.bytes_out},
+                 {"conflicts", stats.conflicts},
+                 {"over_rate", stats.over_rate},
+                 {"peak_calls_in_a_second", stats.peak_calls_in_a_second}});
+  }
+
+  struct numbered : parked_watch {
+    explicit numbered(parked_watch watch) : parked_watch(std::move(watch)) {}
+    std::uint64_t number = 0;
+  };
+
+  base::address address_;
+  std::unique_ptr<http_listener> listener_;
+  std::thread timer_;
+
+  mutable std::mutex mutex_;  // Guards everything below.
+  std::condition_variable changed_;
+  bool stopping_ = false;
+  platform_faults faults_;
+  platform_store store_;
+  platform_stats stats_;
+  rate_limit reads_;
+  rate_limit writes_;
+  std::list<numbered> parked_;
+  std::uint64_t parked_number_ = 0;
+  std::list<http_request> hung_;
+  std::multimap<steady_clock::time_point, std::function<void()>> timed_;
+  std::vector<platform::object> old_answer_;
+  bool repeat_old_answer_ = false;
+  steady_clock::time_point second_began_{};
+  std::int64_t calls_this_second_ = 0;
+};
+
+platform_stand_in::platform_stand_in(platform_stand_in_options options)
+    : state_(std::make_shared<state>(std::move(options))) {}
+
+platform_stand_in::~platform_stand_in() { Stop(); }
+
+base::status platform_stand_in::Start() { return state_->Start(); }
+
+void platform_stand_in::Stop() { state_->Stop(); }
+
+base::address platform_stand_in::Address() const { return state_->Address(); }
+
+void platform_stand_in::SetFaults(const platform_faults& faults) {
+  state_->SetFaults(faults);
+}
+
+platform_stats platform_stand_in::Stats() const { return state_->Stats(); }
+
+}  // namespace fireflyspar::lab
--- /dev/null
+++ b/src/platform/http_object_api.cc
@@ -0,0 +1,394 @@
+#include "platform/http_object_api.h"
+
+#include <cpprest/http_client.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace fireflyspar::platform {
+namespace {
+
+using base::error_kind;
+using std::chrono::milliseconds;
+using web::http::methods;
+
+constexpr std::size_t kMaxValueBytes = 1'000'000;
+// What cpprestsdk adds to a request of ours: request line, host, agent, length.
+constexpr std::int64_t kRequestHeaderBytes = 150;
+constexpr std::int64_t kStatusLineBytes = 17;
+constexpr std::int64_t kHeaderSeparatorBytes = 4;
+
+struct reply {
+  int status = 0;
+  std::string body;
+};
+
+// A call that got no answer.
+struct broken_call {
+  bool never_connected = false;
+  bool interrupted = false;
+  std::string detail;
+};
+
+// One call's place for its answer, which may come after the caller left.
+struct exchange {
+  std::optional<std::variant<reply, broken_call>> outcome;
+};
+
+std::int64_t SizeOf(const web::http::http_response& response) {
+  std::int64_t bytes = kStatusLineBytes;
+  for (const auto& [name, value] : response.headers()) {
+    bytes += static_cast<std::int64_t>(name.size() + value.size()) +
+             kHeaderSeparatorBytes;
+  }
+  return bytes;
+}
+
+bool NeverConnected(const std::error_code& code) {
+  return code == std::errc::host_unreachable ||
+         code == std::errc::network_unreachable ||
+         code == std::errc::connection_refused;
+}
+
+struct call_counters {
+  base::counter& get;
+  base::counter& put;
+  base::counter& list;
+  base::counter& watch;
+  base::counter& remove;
+  base::counter& held_back;
+  base::counter& sent;
+  base::counter& received;
+};
+
+call_counters MakeCounters(base::metrics& metrics) {
+  constexpr std::string_view kCalls = "fireflyspar_platform_calls_total";
+  constexpr std::string_view kBytes = "fireflyspar_control_bytes_total";
+  return {
+      .get = metrics.Counter(kCalls, R"(call="get")"),
+      .put = metrics.Counter(kCalls, R"(call="put")"),
+      .list = metrics.Counter(kCalls, R"(call="list")"),
+      .watch = metrics.Counter(kCalls, R"(call="watch")"),
+      .remove = metrics.Counter(kCalls, R"(call="remove")"),
+      .held_back =
+          metrics.Counter("fireflyspar_platform_calls_held_back_total"),
+      .sent = metrics.Counter(kBytes, R"(seam="platform",direction="sent")"),
+      .received =
+          metrics.Counter(kBytes, R"(seam="platform",direction="received")"),
+  };
+}
+
+base::failure FailureOf(const reply& answer, std::string_view subject) {
+  const std::string detail =
+      "platform answered " + std::to_string(answer.status) + " for " +
+      std::string(subject) + ": " + answer.body.substr(0, 200);
+  switch (answer.status) {
+    case 404:
+      return base::Fail(error_kind::kNotFound, detail);
+    case 409:
+      return base::Fail(error_kind::kConflict, detail);
+    case 413:
+      return base::Fail(error_kind::kTooLarge, detail);
+    case 429:
+      return base::Fail(error_kind::kPlatformOverRate, detail);
+    default:
+      return base::Fail(answer.status >= 500 ? error_kind::kPlatformUnavailable
+                                             : error_kind::kInternal,
+                        detail);
+  }
+}
+
+base::failure FailureOfRead(const broken_call& broken) {
+  return base::Fail(broken.interrupted ? error_kind::kCancelled
+                                       : error_kind::kPlatformUnavailable,
+                    broken.detail);
+}
+
+// Only a connection that never came about proves that nothing was written.
+base::failure FailureOfWrite(const broken_call& broken) {
+  return base::Fail(broken.never_connected ? error_kind::kPlatformUnavailable
+                                           : error_kind::kAnswerLost,
+                    broken.detail);
+}
+
+object ReadObject(const nlohmann::json& from) {
+  return {.key = from.at("key").get<std::string>(),
+          .version = from.at("version").get<std::uint64_t>(),
+          .value = from.at("value").get<std::string>()};
+}
+
+// Runs `read` over the body's JSON; a body in another form is a failure.
+template <typename T, typename Read>
+base::result<T> Decode(const reply& answer, std::string_view subject,
+                       Read read) {
+  try {
+    return read(nlohmann::json::parse(answer.body));
+  } catch (const nlohmann::json::exception& error) {
+    return base::Fail(
+        error_kind::kMalformedMessage,
+        "platform's answer for " + std::string(subject) + ": " + error.what());
+  }
+}
+
+std::vector<object> ReadObjects(const nlohmann::json& from) {
+  std::vector<object> objects;
+  std::ranges::transform(from.at("objects"), std::back_inserter(objects),
+                         ReadObject);
+  std::ranges::sort(objects, {}, &object::key);
+  return objects;
+}
+
+std::string PathOf(std::string_view key) {
+  return "/objects/" + web::uri::encode_data_string(std::string(key));
+}
+
+std::string QueryOf(std::string_view prefix) {
+  return "prefix=" + web::uri::encode_data_string(std::string(prefix));
+}
+
+class http_object_client
+    : public std::enable_shared_from_this<http_object_client> {
+ public:
+  explicit http_object_client(const http_object_api_options& options)
+      : options_(options),
+        uri_("http://" + options.platform_address.ToText()),
+        counters_(MakeCounters(*options.metrics)),
+        reader_(uri_, Config(options.timeout)) {}
+
+  base::result<object> Get(std::string_view key) {
+    return Read<object>(counters_.get, PathOf(key), key, milliseconds{0},
+                        ReadObject);
+  }
+
+  base::result<std::vector<object>> List(std::string_view prefix) {
+    return Read<std::vector<object>>(counters_.list,
+                                     "/objects?" + QueryOf(prefix), prefix,
+                                     milliseconds{0}, ReadObjects);
+  }
+
+  base::result<std::vector<object>> Watch(std::string_view prefix,
+                                          std::uint64_t after,
+                                          milliseconds wait) {
+    const std::string target = "/watch?" + QueryOf(prefix) +
+                               "&after=" + std::to_string(after) +
+                               "&wait_ms=" + std::to_string(wait.count());
+    return Read<std::vector<object>>(counters_.watch, target, prefix, wait,
+                                     ReadObjects);
+  }
+
+  base::result<std::uint64_t> Put(std::string_view key, std::string_view value,
+                                  std::uint64_t if_version) {
+    if (value.size() > kMaxValueBytes) {
+      return base::Fail(error_kind::kTooLarge,
+                        std::string(key) + " would have " +
+                            std::to_string(value.size()) + " bytes; at most " +
+                            std::to_string(kMaxValueBytes) + " are allowed");
+    }
+    return Write<std::uint64_t>(
+        counters_.put, methods::PUT, key, std::string(value), if_version,
+        [](const nlohmann::json& from) {
+          return from.at("version").get<std::uint64_t>();
+        });
+  }
+
+  base::status Remove(std::string_view key, std::uint64_t if_version) {
+    return Write<base::nothing>(
+        counters_.remove, methods::DEL, key, "", if_version,
+        [](const nlohmann::json&) { return base::nothing{}; });
+  }
+
+  void Interrupt() {
+    const std::lock_guard lock(mutex_);
+    interrupted_ = true;
+    changed_.notify_all();
+  }
+
+ private:
+  using client = web::http::client::http_client;
+  using client_config = web::http::client::http_client_config;
+  using outcome = std::variant<reply, broken_call>;
+
+  static client_config Config(milliseconds timeout) {
+    client_config config;
+    config.set_timeout(timeout);
+    config.set_max_redirects(0);
+    return config;
+  }
+
+  template <typename T, typename Decoder>
+  base::result<T> Read(base::counter& calls, const std::string& target,
+                       std::string_view subject, milliseconds wait,
+                       Decoder decoder) {
+    if (options_.budget != nullptr && !options_.budget->TakeRead()) {
+      return HeldBack(subject);
+    }
+    ++calls;
+    web::http::http_request request(methods::GET);
+    request.set_request_uri(target);
+    outcome got = wait.count() == 0 ? Call(reader_, request, options_.timeout)
+                                    : CallWaiting(request, wait);
+    if (const auto* broken = std::get_if<broken_call>(&got)) {
+      return FailureOfRead(*broken);
+    }
+    const reply& answer = std::get<reply>(got);
+    if (answer.status != web::http::status_codes::OK) {
+      return FailureOf(answer, subject);
+    }
+    return Decode<T>(answer, subject, decoder);
+  }
+
+  // A write goes over a connection of its own: cpprestsdk sends a request
+  // again by itself when a reused connection breaks before the answer, and the
+  // second copy of a conditional write would meet the first as a conflict.
+  template <typename T, typename Decoder>
+  base::result<T> Write(base::counter& calls, const web::http::method& method,
+                        std::string_view key, std::string value,
+                        std::uint64_t if_version, Decoder decoder) {
+    if (options_.budget != nullptr && !options_.budget->TakeWrite()) {
+      return HeldBack(key);
+    }
+    ++calls;
+    counters_.sent += static_cast<std::int64_t>(value.size());
+    web::http::http_request request(method);
+    request.set_request_uri(PathOf(key));
+    request.headers().add("If-Match", std::to_string(if_version));
+    if (method == methods::PUT) {
+      request.set_body(std::move(value), "application/octet-stream");
+    }
+    client writer(uri_, Config(options_.timeout));
+    outcome got = Call(writer, request, options_.timeout);
+    if (const auto* broken = std::get_if<broken_call>(&got)) {
+      return FailureOfWrite(*broken);
+    }
+    const reply& answer = std::get<reply>(got);
+    if (answer.status >= 500) {
+      return base::Fail(error_kind::kAnswerLost, FailureOf(answer, key).detail);
+    }
+    if (answer.status != web::http::status_codes::OK) {
+      return FailureOf(answer, key);
+    }
+    return Decode<T>(answer, key, decoder);
+  }
+
+  outcome CallWaiting(web::http::http_request& request, milliseconds wait) {
+    const milliseconds limit = wait + options_.timeout;
+    client waiting(uri_, Config(limit));
+    return Call(waiting, request, limit);
+  }
+
+  base::failure HeldBack(std::string_view subject) {
+    ++counters_.held_back;
+    return base::Fail(error_kind::kPlatformOverRate,
+                      "this process is over its own budget of calls, at " +
+                          std::string(subject));
+  }
+
+  // Sends the request and waits for its whole answer, at most `limit`.
+  outcome Call(client& over, web::http::http_request& request,
+               milliseconds limit) {
+    counters_.sent +=
+        kRequestHeaderBytes +
+        static_cast<std::int64_t>(request.request_uri().to_string().size());
+    const auto place = std::make_shared<exchange>();
+    pplx::cancellation_token_source cancellation;
+    try {
+      Begin(over, request, place, cancellation);
+    } catch (const std::exception& error) {
+      return broken_call{.detail = error.what()};
+    }
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, limit,
+                      [&] { return place->outcome || interrupted_; });
+    if (place->outcome) return std::move(*place->outcome);
+    const bool interrupted = interrupted_;
+    lock.unlock();
+    cancellation.cancel();
+    return broken_call{
+        .interrupted = interrupted,
+        .detail = interrupted ? "the process is stopping"
+                              : "no answer from the platform within " +
+                                    std::to_string(limit.count()) + " ms"};
+  }
+
+  void Begin(client& over, web::http::http_request& request,
+             const std::shared_ptr<exchange>& place,
+             const pplx::cancellation_token_source& cancellation) {
+    const auto self = shared_from_this();
+    over.request(request, cancellation.get_token())
+        .then([self](const web::http::http_response& response) {
+          self->counters_.received += SizeOf(response);
+          return response.extract_vector().then(
+              [status = response.status_code()](
+                  const std::vector<unsigned char>& bytes) {
+                return reply{.status = status,
+                             .body = std::string(bytes.begin(), bytes.end())};
+              });
+        })
+        .then([self, place](const pplx::task<reply>& finished) {
+          self->Finish(*place, finished);
+        });
+  }
+
+  void Finish(exchange& place, const pplx::task<reply>& finished) {
+    outcome got = Take(finished);
+    const std::lock_guard lock(mutex_);
+    place.outcome = std::move(got);
+    changed_.notify_all();
+  }
+
+  outcome Take(const pplx::task<reply>& finished) {
+    try {
+      reply got = finished.get();
+      counters_.received += static_cast<std::int64_t>(got.body.size());
+      return got;
+    } catch (const web::http::http_exception& error) {
+      return broken_call{.never_connected = NeverConnected(error.error_code()),
+                         .detail = error.what()};
+    } catch (const std::exception& error) {
+      return broken_call{.detail = error.what()};
+    }
+  }
+
+  const http_object_api_options options_;
+  const web::uri uri_;
+  call_counters counters_;
+  client reader_;
+
+  std::mutex mutex_;  // Guards what follows and every exchange.
+  std::condition_variable changed_;
+  bool interrupted_ = false;
+};
+
+}  // namespace
+
+object_api MakeHttpObjectApi(const http_object_api_options& options) {
+  const auto client = std::make_shared<http_object_client>(options);
+  return {
+      .get = [client](std::string_view key) { return client->Get(key); },
+      .put =
+          [client](std::string_view key, std::string_view value,
+                   std::uint64_t if_version) {
+            return client->Put(key, value, if_version);
+          },
+      .list =
+          [client](std::string_view prefix) { return client->List(prefix); },
+      .watch =
+          [client](std::string_view prefix, std::uint64_t after,
+                   milliseconds wait) {
+            return client->Watch(prefix, after, wait);
+          },
+      .remove =
+          [client](std::string_view key, std::uint64_t if_version) {
+            return client->Remove(key, if_version);
+          },
+      .interrupt = [client] { client->Interrupt(); },
+  };
+}
+
+}  // namespace fireflyspar::platform
--- a/src/platform/object_api.h
+++ b/src/platform/object_api.h
@@ -45,7 +45,9 @@
 
   // Waits up to `wait` for changes after version `after` below `prefix` and
   // gives the objects as they now are; empty when nothing changed in time. May
-  // be stale or repeat itself: callers compare versions.
+  // be stale or repeat itself: callers compare versions. A removed object is
+  // given with the version of its removal and an empty value, unless the
+  // platform no longer remembers it.
   std::function<base::result<std::vector<object>>(
       std::string_view prefix, std::uint64_t after,
       std::chrono::milliseconds wait)>
@@ -55,6 +57,11 @@
   std::function<base::result<base::nothing>(std::string_view key,
                                             std::uint64_t if_version)>
       remove;
+
+  // Ends every call that waits now, and every later one at once, with
+  // kCancelled, so that a process can stop while the platform hangs. May be
+  // empty. A user that stops on its own needs an API object of its own.
+  std::function<void()> interrupt;
 };
 
 }  // namespace fireflyspar::platform
--- a/src/platform/records.h
+++ b/src/platform/records.h
@@ -2,13 +2,16 @@
 // There are few and each is small, since the platform's rates grow more slowly
 // than the fleet:
 //
-//   in_force          which snapshot is in force; changed by compare-and-set
+//   watched/in_force  which snapshot is in force; changed by compare-and-set
+//   watched/moves/ID  one move; its state is changed by compare-and-set
 //   presets/NAME      a preset's canonical text
 //   snapshots/HASH    the text that an `in_force` names; never changed
-//   moves/ID          one move; its state is changed by compare-and-set
 //   audit/N           segments of the audit trail
 //   roster/DC         a few node addresses to join by
 //   status/DC         which version is in force where, written by a few nodes
+//
+// What nodes wait for lies under one prefix, so that a relay needs one waiting
+// watch, which the platform counts as a call, and is woken by nothing else.
 #ifndef FIREFLYSPAR_PLATFORM_RECORDS_H_
 #define FIREFLYSPAR_PLATFORM_RECORDS_H_
 
@@ -21,10 +24,11 @@
 
 namespace fireflyspar::platform {
 
-inline constexpr std::string_view kInForceKey = "in_force";
+inline constexpr std::string_view kWatchedPrefix = "watched/";
+inline constexpr std::string_view kInForceKey = "watched/in_force";
 inline constexpr std::string_view kPresetPrefix = "presets/";
 inline constexpr std::string_view kSnapshotPrefix = "snapshots/";
-inline constexpr std::string_view kMovePrefix = "moves/";
+inline constexpr std::string_view kMovePrefix = "watched/moves/";
 inline constexpr std::string_view kAuditPrefix = "audit/";
 inline constexpr std::string_view kRosterPrefix = "roster/";
 inline constexpr std::string_view kStatusPrefix = "status/";
--- /dev/null
+++ b/src/platform/relay.cc
@@ -0,0 +1,288 @@
+#include "platform/relay.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include "base/log.h"
+#include "platform/records.h"
+
+namespace fireflyspar::platform {
+namespace {
+
+using base::error_kind;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+base::result<config::snapshot_ptr> FetchSnapshot(const object_api& api,
+                                                 const config::version_id& id) {
+  auto got = api.get(std::string(kSnapshotPrefix) + id.hash);
+  if (!got) return got.Failure();
+  return config::MakeSnapshot(id, std::move(got->value));
+}
+
+// A fault of the stored content, which no retry mends.
+bool IsBadContent(const base::failure& failure) {
+  return failure.Kind() == error_kind::kBadPreset ||
+         failure.Kind() == error_kind::kMalformedMessage ||
+         failure.Kind() == error_kind::kUnsupportedSchema;
+}
+
+}  // namespace
+
+class relay::state {
+ public:
+  explicit state(relay_options options)
+      : options_(std::move(options)),
+        retry_(options_.retry, options_.random),
+        failures_(
+            options_.metrics->Counter("fireflyspar_relay_failures_total")),
+        stale_(options_.metrics->Counter("fireflyspar_relay_stale_total")),
+        offered_(options_.metrics->Counter(
+            "fireflyspar_relay_configurations_offered_total")) {}
+
+  void Start() {
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  void Stop() {
+    {
+      const std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    changed_.notify_all();
+    if (options_.api.interrupt) options_.api.interrupt();
+    if (thread_.joinable()) thread_.join();
+  }
+
+ private:
+  void Run() {
+    while (!Stopping()) {
+      if (!options_.has_job()) {
+        LeaveJob();
+        Pause(options_.job_check);
+      } else {
+        TakeJob();
+        Step();
+      }
+    }
+  }
+
+  void TakeJob() {
+    if (has_job_) return;
+    has_job_ = true;
+    ResyncSoon();
+    base::LogInfo("relay_started", {});
+  }
+
+  void LeaveJob() {
+    if (!has_job_) return;
+    has_job_ = false;
+    base::LogInfo("relay_stopped", {});
+  }
+
+  // The next watch begins at version zero, which gives every object again;
+  // merging makes it harmless to offer one twice.
+  void ResyncSoon() {
+    watched_to_ = 0;
+    known_.clear();
+    resync_at_ = steady_clock::now() + options_.resync_every;
+  }
+
+  void Step() {
+    if (steady_clock::now() >= resync_at_) ResyncSoon();
+    const auto changed =
+        options_.api.watch(kWatchedPrefix, watched_to_, options_.watch_wait);
+    if (!changed) {
+      Failed(changed.Failure());
+      return;
+    }
+    const auto news = std::ranges::count_if(
+        *changed, [this](const object& each) { return Take(each); });
+    if (wanted_ && !FetchWanted()) return;
+    if (news == 0 && !changed->empty()) {
+      // A watch that repeats old content answers at once; asking again at once
+      // would make a tight loop of platform calls.
+      Pause(retry_.Next());
+      return;
+    }
+    Succeeded();
+  }
+
+  // True when the object is newer than what was known of it.
+  bool Take(const object& seen) {
+    watched_to_ = std::max(watched_to_, seen.version);
+    std::uint64_t& known = known_[seen.key];
+    if (seen.version <= known) {
+      if (seen.version < known) ++stale_;
+      return false;
+    }
+    known = seen.version;
+    if (seen.key == kInForceKey) {
+      TakeInForce(seen);
+    } else if (seen.key.starts_with(kMovePrefix)) {
+      TakeMove(seen);
+    }
+    return true;
+  }
+
+  void TakeInForce(const object& seen) {
+    const auto parsed = ParseInForce(seen.value);
+    if (!parsed) {
+      WarnOfContent(seen.key, parsed.Failure());
+      return;
+    }
+    if (parsed->id.version <= offered_version_) {
+      ++stale_;
+      return;
+    }
+    if (!wanted_ || wanted_->version < parsed->id.version) {
+      wanted_ = parsed->id;
+    }
+  }
+
+  void TakeMove(const object& seen) {
+    if (seen.value.empty()) {
+      options_.forget_move(seen.key.substr(kMovePrefix.size()));
+      return;
+    }
+    const auto parsed = ParseMove(seen.value);
+    if (!parsed) {
+      WarnOfContent(seen.key, parsed.Failure());
+      return;
+    }
+    options_.offer_move(*parsed);
+  }
+
+  bool FetchWanted() {
+    const auto fetched = FetchSnapshot(options_.api, *wanted_);
+    if (!fetched) {
+      if (IsBadContent(fetched.Failure())) {
+        WarnOfContent(wanted_->hash, fetched.Failure());
+        wanted_.reset();
+      } else {
+        Failed(fetched.Failure());
+        // The watch is asked for everything, so that it returns at once and
+        // the fetch is tried again, or replaced by a newer one.
+        watched_to_ = 0;
+      }
+      return false;
+    }
+    offered_version_ = wanted_->version;
+    wanted_.reset();
+    ++offered_;
+    options_.offer_configuration(*fetched);
+    return true;
+  }
+
+  void Failed(const base::failure& failure) {
+    if (Stopping()) return;
+    ++failures_;
+    if (reachable_) {
+      reachable_ = false;
+      base::LogWarning(
+          "platform_unreachable",
+          {{"error", failure.code.message()}, {"detail", failure.detail}});
+    }
+    Pause(retry_.Next());
+  }
+
+  void Succeeded() {
+    retry_.Reset();
+    if (reachable_) return;
+    reachable_ = true;
+    base::LogInfo("platform_reachable", {});
+  }
+
+  static void WarnOfContent(const std::string& what,
+                            const base::failure& failure) {
+    base::LogWarning("platform_object_refused",
+                     {{"object", what},
+                      {"error", failure.code.message()},
+                      {"detail", failure.detail}});
+  }
+
+  bool Stopping() {
+    const std::lock_guard lock(mutex_);
+    return stopping_;
+  }
+
+  void Pause(base::duration wait) {
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, wait, [this] { return stopping_; });
+  }
+
+  const relay_options options_;
+
+  // Used by the relay's thread alone.
+  backoff retry_;
+  bool has_job_ = false;
+  bool reachable_ = true;
+  std::uint64_t watched_to_ = 0;
+  steady_clock::time_point resync_at_;
+  std::map<std::string, std::uint64_t> known_;  // Key to object version.
+  std::uint64_t offered_version_ = 0;           // Of the configuration.
+  std::optional<config::version_id> wanted_;    // To be fetched.
+
+  base::counter& failures_;
+  base::counter& stale_;
+  base::counter& offered_;
+
+  std::thread thread_;
+  std::mutex mutex_;  // Guards `stopping_`.
+  std::condition_variable changed_;
+  bool stopping_ = false;
+};
+
+relay::relay(relay_options options)
+    : state_(std::make_unique<state>(std::move(options))) {}
+
+relay::~relay() { Stop(); }
+
+void relay::Start() { state_->Start(); }
+
+void relay::Stop() { state_->Stop(); }
+
+namespace {
+
+base::result<platform_view> FetchOnce(const object_api& api) {
+  const auto listed = api.list(kWatchedPrefix);
+  if (!listed) return listed.Failure();
+  platform_view view;
+  for (const object& each : *listed) {
+    if (each.key == kInForceKey) {
+      const auto parsed = ParseInForce(each.value);
+      if (!parsed) return parsed.Failure();
+      auto fetched = FetchSnapshot(api, parsed->id);
+      if (!fetched) return fetched.Failure();
+      view.configuration = *std::move(fetched);
+    } else if (each.key.starts_with(kMovePrefix)) {
+      auto parsed = ParseMove(each.value);
+      if (parsed) view.moves.push_back(*std::move(parsed));
+    }
+  }
+  return view;
+}
+
+}  // namespace
+
+base::result<platform_view> FetchNow(const fetch_options& options) {
+  const auto give_up_at = steady_clock::now() + options.limit;
+  backoff retry(options.retry, options.random);
+  while (true) {
+    auto view = FetchOnce(options.api);
+    if (view || IsBadContent(view.Failure()) ||
+        view.Failure().Kind() == error_kind::kCancelled) {
+      return view;
+    }
+    const auto wait = retry.Next();
+    if (steady_clock::now() + wait >= give_up_at) return view;
+    std::this_thread::sleep_for(wait);
+  }
+}
+
+}  // namespace fireflyspar::platform
