Keep rosters and status at the platform, and write moves' outcomes

Joining without seeds, the operators' view of which version is in force where, and the outcome of a move all need small objects that a few nodes write.

One keeper serves rosters and status: it writes differences only, at a bounded rate, and leaves races to the compare-and-set.

--- /dev/null
+++ b/src/platform/object_keeper.cc
@@ -0,0 +1,117 @@
+#include "platform/object_keeper.h"
+
+#include <utility>
+
+#include "platform/reachability.h"
+#include "platform/worker_thread.h"
+
+namespace fireflyspar::platform {
+namespace {
+
+using base::error_kind;
+
+// An object with what this node knows of it.
+struct kept_state {
+  kept_object object;
+  std::optional<platform::object> known;  // Version zero: it does not exist.
+  base::instant may_write_at;
+};
+
+}  // namespace
+
+class object_keeper::state {
+ public:
+  explicit state(object_keeper_options options)
+      : options_(std::move(options)),
+        reachability_("keeper", *options_.metrics, options_.retry,
+                      options_.random) {
+    for (const kept_object& each : options_.objects) {
+      kept_.push_back({.object = each});
+    }
+  }
+
+  void Start() {
+    thread_.Start([this] { thread_.Pause(CheckAll()); });
+  }
+
+  void Stop() {
+    thread_.Stop([this] {
+      if (options_.api.interrupt) options_.api.interrupt();
+    });
+  }
+
+  base::duration CheckAll() {
+    for (kept_state& each : kept_) {
+      const base::status checked = Check(each);
+      if (!checked) return reachability_.Failed(checked.Failure());
+    }
+    // Two nodes with the same job should not check in step.
+    const auto every =
+        std::chrono::duration_cast<base::duration>(options_.check_every);
+    const double stretch = 0.5 + base::Unit(options_.random());
+    return base::duration(static_cast<std::int64_t>(
+        static_cast<double>(every.count()) * stretch));
+  }
+
+ private:
+  base::status Check(kept_state& kept) {
+    if (!kept.object.has_job()) {
+      kept.known.reset();
+      return base::nothing{};
+    }
+    if (!kept.known) {
+      const base::status read = Read(kept);
+      if (!read) return read;
+    }
+    const auto next = kept.object.next(kept.known->value);
+    if (!next || options_.clock() < kept.may_write_at) return base::nothing{};
+    return Write(kept, *next);
+  }
+
+  base::status Read(kept_state& kept) {
+    auto got = options_.api.get(kept.object.key);
+    if (!got && got.Failure().Kind() != error_kind::kNotFound) {
+      return got.Failure();
+    }
+    reachability_.Succeeded();
+    kept.known =
+        got ? *std::move(got) : platform::object{.key = kept.object.key};
+    return base::nothing{};
+  }
+
+  base::status Write(kept_state& kept, const std::string& value) {
+    kept.may_write_at = options_.clock() + kept.object.least_gap;
+    const auto put =
+        options_.api.put(kept.object.key, value, kept.known->version);
+    if (!put) {
+      // Whatever went wrong, what is there now is to be read again.
+      kept.known.reset();
+      if (put.Failure().Kind() == error_kind::kConflict) {
+        return base::nothing{};
+      }
+      return put.Failure();
+    }
+    reachability_.Succeeded();
+    kept.known->version = *put;
+    kept.known->value = value;
+    return base::nothing{};
+  }
+
+  const object_keeper_options options_;
+  reachability reachability_;
+  std::vector<kept_state> kept_;
+  worker_thread thread_;
+};
+
+object_keeper::object_keeper(object_keeper_options options)
+    : state_(std::make_unique<state>(std::move(options))) {}
+
+object_keeper::~object_keeper() { Stop(); }
+
+void object_keeper::Start() { state_->Start(); }
+
+void object_keeper::Stop() { state_->Stop(); }
+
+base::duration object_keeper::CheckAll() { return state_->CheckAll(); }
+
+}  // namespace fireflyspar::platform
--- /dev/null
+++ b/src/platform/reachability.h
@@ -0,0 +1,38 @@
+// Whether the platform answers, as one background job sees it: a log line when
+// that changes, a counter for every failure, and the wait before the next try.
+#ifndef FIREFLYSPAR_PLATFORM_REACHABILITY_H_
+#define FIREFLYSPAR_PLATFORM_REACHABILITY_H_
+
+#include <string>
+
+#include "base/hooks.h"
+#include "base/metrics.h"
+#include "base/result.h"
+#include "platform/backoff.h"
+
+namespace fireflyspar::platform {
+
+class reachability {
+ public:
+  // `job` names the counter fireflyspar_platform_failures_total{job="..."}.
+  reachability(std::string job, base::metrics& metrics, backoff_options retry,
+               base::random_hook random);
+
+  // Gives the wait before the next try.
+  base::duration Failed(const base::failure& failure);
+
+  void Succeeded();
+
+ private:
+  std::string job_;
+  base::counter& failures_;
+  backoff retry_;
+  bool reachable_ = true;
+};
+
+// Logs that a stored object is not what it should be.
+void WarnOfContent(const std::string& key, const base::failure& failure);
+
+}  // namespace fireflyspar::platform
+
+#endif  // FIREFLYSPAR_PLATFORM_REACHABILITY_H_
--- a/src/platform/relay.cc
+++ b/src/platform/relay.cc
@@ -1,15 +1,15 @@
 #include "platform/relay.h"
 
 #include <algorithm>
-#include <condition_variable>
 #include <map>
-#include <mutex>
 #include <optional>
 #include <thread>
 #include <utility>
 
 #include "base/log.h"
+#include "platform/reachability.h"
 #include "platform/records.h"
+#include "platform/worker_thread.h"
 
 namespace fireflyspar::platform {
 namespace {
@@ -25,50 +25,37 @@
   return config::MakeSnapshot(id, std::move(got->value));
 }
 
-// A fault of the stored content, which no retry mends.
-bool IsBadContent(const base::failure& failure) {
-  return failure.Kind() == error_kind::kBadPreset ||
-         failure.Kind() == error_kind::kMalformedMessage ||
-         failure.Kind() == error_kind::kUnsupportedSchema;
-}
-
 }  // namespace
 
 class relay::state {
  public:
   explicit state(relay_options options)
       : options_(std::move(options)),
-        retry_(options_.retry, options_.random),
-        failures_(
-            options_.metrics->Counter("fireflyspar_relay_failures_total")),
+        reachability_("relay", *options_.metrics, options_.retry,
+                      options_.random),
+        idle_(options_.retry, options_.random),
         stale_(options_.metrics->Counter("fireflyspar_relay_stale_total")),
         offered_(options_.metrics->Counter(
             "fireflyspar_relay_configurations_offered_total")) {}
 
   void Start() {
-    thread_ = std::thread([this] { Run(); });
+    thread_.Start([this] { Run(); });
   }
 
   void Stop() {
-    {
-      const std::lock_guard lock(mutex_);
-      stopping_ = true;
-    }
-    changed_.notify_all();
-    if (options_.api.interrupt) options_.api.interrupt();
-    if (thread_.joinable()) thread_.join();
+    thread_.Stop([this] {
+      if (options_.api.interrupt) options_.api.interrupt();
+    });
   }
 
  private:
   void Run() {
-    while (!Stopping()) {
-      if (!options_.has_job()) {
-        LeaveJob();
-        Pause(options_.job_check);
-      } else {
-        TakeJob();
-        Step();
-      }
+    if (options_.has_job()) {
+      TakeJob();
+      Step();
+    } else {
+      LeaveJob();
+      thread_.Pause(options_.job_check);
     }
   }
 
@@ -107,10 +94,11 @@
     if (news == 0 && !changed->empty()) {
       // A watch that repeats old content answers at once; asking again at once
       // would make a tight loop of platform calls.
-      Pause(retry_.Next());
+      thread_.Pause(idle_.Next());
       return;
     }
-    Succeeded();
+    idle_.Reset();
+    reachability_.Succeeded();
   }
 
   // True when the object is newer than what was known of it.
@@ -161,15 +149,10 @@
   bool FetchWanted() {
     const auto fetched = FetchSnapshot(options_.api, *wanted_);
     if (!fetched) {
-      if (IsBadContent(fetched.Failure())) {
-        WarnOfContent(wanted_->hash, fetched.Failure());
-        wanted_.reset();
-      } else {
-        Failed(fetched.Failure());
-        // The watch is asked for everything, so that it returns at once and
-        // the fetch is tried again, or replaced by a newer one.
-        watched_to_ = 0;
-      }
+      Failed(fetched.Failure());
+      // The watch is asked for everything, so that it returns at once and the
+      // fetch is tried again, or replaced by a newer one.
+      watched_to_ = 0;
       return false;
     }
     offered_version_ = wanted_->version;
@@ -180,62 +163,26 @@
   }
 
   void Failed(const base::failure& failure) {
-    if (Stopping()) return;
-    ++failures_;
-    if (reachable_) {
-      reachable_ = false;
-      base::LogWarning(
-          "platform_unreachable",
-          {{"error", failure.code.message()}, {"detail", failure.detail}});
-    }
-    Pause(retry_.Next());
-  }
-
-  void Succeeded() {
-    retry_.Reset();
-    if (reachable_) return;
-    reachable_ = true;
-    base::LogInfo("platform_reachable", {});
-  }
-
-  static void WarnOfContent(const std::string& what,
-                            const base::failure& failure) {
-    base::LogWarning("platform_object_refused",
-                     {{"object", what},
-                      {"error", failure.code.message()},
-                      {"detail", failure.detail}});
-  }
-
-  bool Stopping() {
-    const std::lock_guard lock(mutex_);
-    return stopping_;
-  }
-
-  void Pause(base::duration wait) {
-    std::unique_lock lock(mutex_);
-    changed_.wait_for(lock, wait, [this] { return stopping_; });
+    if (thread_.Stopping()) return;
+    thread_.Pause(reachability_.Failed(failure));
   }
 
   const relay_options options_;
 
   // Used by the relay's thread alone.
-  backoff retry_;
+  reachability reachability_;
+  backoff idle_;
   bool has_job_ = false;
-  bool reachable_ = true;
   std::uint64_t watched_to_ = 0;
   steady_clock::time_point resync_at_;
   std::map<std::string, std::uint64_t> known_;  // Key to object version.
   std::uint64_t offered_version_ = 0;           // Of the configuration.
   std::optional<config::version_id> wanted_;    // To be fetched.
 
-  base::counter& failures_;
   base::counter& stale_;
   base::counter& offered_;
 
-  std::thread thread_;
-  std::mutex mutex_;  // Guards `stopping_`.
-  std::condition_variable changed_;
-  bool stopping_ = false;
+  worker_thread thread_;
 };
 
 relay::relay(relay_options options)
@@ -275,8 +222,7 @@
   backoff retry(options.retry, options.random);
   while (true) {
     auto view = FetchOnce(options.api);
-    if (view || IsBadContent(view.Failure()) ||
-        view.Failure().Kind() == error_kind::kCancelled) {
+    if (view || view.Failure().Kind() == error_kind::kCancelled) {
       return view;
     }
     const auto wait = retry.Next();
--- a/src/platform/relay.h
+++ b/src/platform/relay.h
@@ -6,8 +6,9 @@
 // A relay holds one waiting watch over everything that nodes wait for
 // (kWatchedPrefix). Two watches, on `in_force` and on the moves, would count
 // as two calls each time; one on the whole platform would be woken by audit,
-// status and roster writes. With 8 data-centre-relays waiting 30 s at a time
-// the idle cost is 8 / 30 s, or 0.27 calls a second for the whole fleet.
+// status and roster writes. With two relays in each of
+// 4 data centres, waiting 30 s at a time, the idle cost is 8 / 30 s, or 0.27
+// calls a second for the whole fleet.
 //
 // A watch's answers are hints: they may be stale, crossed or doubled. The relay
 // offers only greater configuration versions and object versions than it has
