Thin: read and check presets, keep records, choose the one in force

There was no text form, no check and no way to put a preset in force.

Weighed: cpprestsdk's json against nlohmann::json for presets. The former keeps the last of two equal keys silently, so a preset would be read otherwise than meant; the event interface of the latter shows each key. A lost answer is settled by trying the same conditional write again rather than by a re-read alone, since a write that has not yet landed could still do so after the read.

Faults of the platform other than the race are not tested yet.

--- /dev/null
+++ b/src/config/json_document.cc
@@ -0,0 +1,285 @@
+#include "config/json_document.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace fireflyspar::config {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kExcerptBytes = 60;
+
+// Cuts at most `limit` bytes without splitting a UTF-8 character.
+std::string_view CutText(std::string_view text, std::size_t limit) {
+  if (text.size() <= limit) return text;
+  const auto continues = [&](std::size_t at) {
+    return (static_cast<unsigned char>(text[at]) & 0xC0) == 0x80;
+  };
+  while (limit > 0 && continues(limit)) --limit;
+  return text.substr(0, limit);
+}
+
+// Bytes that are not UTF-8 are shown as U+FFFD.
+std::string Dump(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+// Builds the document from the parser's events and notes what the plain
+// parser would let pass: duplicate keys and deep nesting.
+class document_builder : public nlohmann::json_sax<json> {
+ public:
+  document_builder(std::string_view text, faults& out)
+      : text_(text), out_(out) {}
+
+  json Take() { return std::move(root_); }
+
+  bool null() override { return Add(nullptr); }
+  bool boolean(bool value) override { return Add(value); }
+  bool number_integer(std::int64_t value) override { return Add(value); }
+  bool number_unsigned(std::uint64_t value) override { return Add(value); }
+  bool number_float(double value, const std::string&) override {
+    return Add(value);
+  }
+  bool string(std::string& value) override { return Add(std::move(value)); }
+  bool binary(json::binary_t&) override { return false; }
+  bool start_object(std::size_t) override { return Open(json::object()); }
+  bool start_array(std::size_t) override { return Open(json::array()); }
+  bool end_object() override { return Close(); }
+  bool end_array() override { return Close(); }
+
+  bool key(std::string& name) override {
+    if (open_.back().value->contains(name)) {
+      out_.push_back(
+          {PointerTo(Here(), name), Dump(name), "each key only once"});
+    }
+    open_.back().key = std::move(name);
+    return true;
+  }
+
+  bool parse_error(std::size_t position, const std::string&,
+                   const nlohmann::detail::exception& error) override {
+    const std::size_t at =
+        std::min(position == 0 ? 0 : position - 1, text_.size());
+    const std::string_view before = text_.substr(0, at);
+    const auto lines = std::ranges::count(before, '\n');
+    const std::size_t line_start = before.rfind('\n') + 1;  // npos + 1 is 0.
+    // An overflowing number is well formed, so the parser tells it apart.
+    constexpr int kNumberOverflow = 406;
+    const std::string expected =
+        error.id == kNumberOverflow ? "a number that fits in 64 bits" : "JSON";
+    out_.push_back({Here(), Dump(CutText(text_.substr(at), kExcerptBytes)),
+                    expected + " in UTF-8 at line " +
+                        std::to_string(lines + 1) + ", byte " +
+                        std::to_string(at - line_start + 1)});
+    return false;
+  }
+
+ private:
+  struct level {
+    json* value;
+    std::string at;
+    std::string key;  // Of the member that comes next.
+  };
+
+  std::string Here() const { return open_.empty() ? "" : open_.back().at; }
+
+  std::string NextPointer() const {
+    if (open_.empty()) return "";
+    const level& top = open_.back();
+    return top.value->is_array() ? PointerTo(top.at, top.value->size())
+                                 : PointerTo(top.at, top.key);
+  }
+
+  json* Place(json value) {
+    if (open_.empty()) {
+      root_ = std::move(value);
+      return &root_;
+    }
+    json& parent = *open_.back().value;
+    if (parent.is_array()) return &parent.emplace_back(std::move(value));
+    json& member = parent[open_.back().key];
+    member = std::move(value);
+    return &member;
+  }
+
+  bool Add(json value) {
+    Place(std::move(value));
+    return true;
+  }
+
+  bool Open(json empty) {
+    std::string at = NextPointer();
+    if (open_.size() == kMaxJsonDepth) {
+      out_.push_back({std::move(at), empty.is_array() ? "[" : "{",
+                      "at most " + std::to_string(kMaxJsonDepth) +
+                          " objects and arrays within one another"});
+      return false;
+    }
+    json* placed = Place(std::move(empty));
+    open_.push_back({.value = placed, .at = std::move(at), .key = {}});
+    return true;
+  }
+
+  bool Close() {
+    open_.pop_back();
+    return true;
+  }
+
+  std::string_view text_;
+  faults& out_;
+  json root_;
+  std::vector<level> open_;
+};
+
+void ExpectWhole(const json& value, const std::string& at, faults& out) {
+  out.push_back({at, Excerpt(value),
+                 "a whole number up to " +
+                     std::to_string(std::numeric_limits<int>::max())});
+}
+
+// A whole number that fits in an int, or a fault.
+std::optional<int> WholeOf(const json& value, const std::string& at,
+                           faults& out) {
+  constexpr std::int64_t kLeast = std::numeric_limits<int>::min();
+  constexpr std::int64_t kMost = std::numeric_limits<int>::max();
+  const bool fits =
+      value.is_number_unsigned()
+          ? value.get<std::uint64_t>() <= std::uint64_t{kMost}
+          : value.is_number_integer() && value.get<std::int64_t>() >= kLeast;
+  if (!fits) {
+    ExpectWhole(value, at, out);
+    return {};
+  }
+  return value.get<int>();
+}
+
+}  // namespace
+
+std::optional<json> ReadJson(std::string_view text, std::size_t max_bytes,
+                             faults& out) {
+  if (text.size() > max_bytes) {
+    out.push_back({"", std::to_string(text.size()) + " bytes",
+                   "at most " + std::to_string(max_bytes) + " bytes"});
+    return {};
+  }
+  document_builder builder(text, out);
+  if (!json::sax_parse(text.begin(), text.end(), &builder)) return {};
+  return builder.Take();
+}
+
+std::string PointerTo(std::string_view at, std::string_view token) {
+  std::string pointer(at);
+  pointer += '/';
+  for (const char c : token) {
+    if (c == '~') {
+      pointer += "~0";
+    } else if (c == '/') {
+      pointer += "~1";
+    } else {
+      pointer += c;
+    }
+  }
+  return pointer;
+}
+
+std::string PointerTo(std::string_view at, std::size_t index) {
+  return PointerTo(at, std::to_string(index));
+}
+
+std::string Excerpt(const json& value) {
+  const std::string text = Dump(value);
+  const std::string_view cut = CutText(text, kExcerptBytes);
+  return cut.size() == text.size() ? text : std::string(cut) + "...";
+}
+
+void ReadObject(const json& value, const std::string& at,
+                std::initializer_list<field> fields, unknown_keys rule,
+                faults& out) {
+  if (!value.is_object()) {
+    out.push_back({at, Excerpt(value), "an object"});
+    return;
+  }
+  for (const field& each : fields) {
+    const auto found = value.find(each.name);
+    if (found != value.end()) {
+      each.read(*found, PointerTo(at, each.name), out);
+    } else if (each.needed == presence::kRequired) {
+      out.push_back({PointerTo(at, each.name), "", "a value; it is required"});
+    }
+  }
+  if (rule == unknown_keys::kIgnored) return;
+  for (const auto& [key, member] : value.items()) {
+    if (std::ranges::find(fields, key, &field::name) == fields.end()) {
+      out.push_back({PointerTo(at, key), Excerpt(member), "no such key"});
+    }
+  }
+}
+
+value_reader ReadText(std::string& to) {
+  return [&to](const json& value, const std::string& at, faults& out) {
+    if (!value.is_string()) {
+      out.push_back({at, Excerpt(value), "a string"});
+      return;
+    }
+    to = value.get<std::string>();
+  };
+}
+
+value_reader ReadSwitch(bool& to) {
+  return [&to](const json& value, const std::string& at, faults& out) {
+    if (!value.is_boolean()) {
+      out.push_back({at, Excerpt(value), "true or false"});
+      return;
+    }
+    to = value.get<bool>();
+  };
+}
+
+value_reader ReadWhole(int& to) {
+  return [&to](const json& value, const std::string& at, faults& out) {
+    to = WholeOf(value, at, out).value_or(to);
+  };
+}
+
+value_reader ReadCounter(std::uint64_t& to) {
+  return [&to](const json& value, const std::string& at, faults& out) {
+    if (!value.is_number_unsigned()) {
+      out.push_back({at, Excerpt(value), "a whole number, not negative"});
+      return;
+    }
+    to = value.get<std::uint64_t>();
+  };
+}
+
+value_reader ReadNumber(double& to) {
+  return [&to](const json& value, const std::string& at, faults& out) {
+    if (!value.is_number()) {
+      out.push_back({at, Excerpt(value), "a number"});
+      return;
+    }
+    to = value.get<double>();
+  };
+}
+
+value_reader ReadMilliseconds(std::chrono::milliseconds& to) {
+  return [&to](const json& value, const std::string& at, faults& out) {
+    const auto count = WholeOf(value, at, out);
+    if (count) to = std::chrono::milliseconds(*count);
+  };
+}
+
+value_reader ReadSeconds(std::chrono::seconds& to) {
+  return [&to](const json& value, const std::string& at, faults& out) {
+    const auto count = WholeOf(value, at, out);
+    if (count) to = std::chrono::seconds(*count);
+  };
+}
+
+value_reader ReadTexts(std::vector<std::string>& to) {
+  return ReadArray(
+      to, [](const json& item, const std::string& at, std::string& text,
+             faults& out) { ReadText(text)(item, at, out); });
+}
+
+}  // namespace fireflyspar::config
--- /dev/null
+++ b/src/config/preset_text.cc
@@ -0,0 +1,230 @@
+#include "config/preset_text.h"
+
+#include <algorithm>
+
+#include "config/json_document.h"
+#include "config/validate.h"
+
+namespace fireflyspar::config {
+namespace {
+
+using nlohmann::json;
+using nlohmann::ordered_json;
+using enum presence;
+
+// More faults than anyone reads at once; the rest is counted.
+constexpr std::size_t kMaxFaults = 1000;
+
+constexpr std::string_view kInsideText = "inside";
+constexpr std::string_view kOutsideText = "outside";
+
+std::string_view ToText(visibility value) {
+  return value == visibility::kOutside ? kOutsideText : kInsideText;
+}
+
+value_reader ReadVisibility(visibility& to) {
+  return [&to](const json& value, const std::string& at, faults& out) {
+    if (value == kInsideText) {
+      to = visibility::kInside;
+    } else if (value == kOutsideText) {
+      to = visibility::kOutside;
+    } else {
+      out.push_back({at, Excerpt(value), R"("inside" or "outside")"});
+    }
+  };
+}
+
+void ReadShare(const json& value, const std::string& at, version_share& to,
+               faults& out) {
+  ReadObject(value, at,
+             {{"version", kRequired, ReadText(to.version)},
+              {"percent", kRequired, ReadWhole(to.percent)}},
+             unknown_keys::kRefused, out);
+}
+
+value_reader ReadRetries(retry_rule& to) {
+  return [&to](const json& value, const std::string& at, faults& out) {
+    ReadObject(value, at,
+               {{"max_attempts", kOptional, ReadWhole(to.max_attempts)},
+                {"budget_percent", kOptional, ReadWhole(to.budget_percent)}},
+               unknown_keys::kRefused, out);
+  };
+}
+
+void ReadService(const json& value, const std::string& at, service& to,
+                 faults& out) {
+  ReadObject(
+      value, at,
+      {{"name", kRequired, ReadText(to.name)},
+       {"versions", kRequired, ReadArray(to.versions, ReadShare)},
+       {"max_calls_per_second", kOptional, ReadWhole(to.max_calls_per_second)},
+       {"max_in_flight_per_caller", kOptional,
+        ReadWhole(to.max_in_flight_per_caller)},
+       {"timeout_ms", kOptional, ReadMilliseconds(to.timeout)},
+       {"retries", kOptional, ReadRetries(to.retries)}},
+      unknown_keys::kRefused, out);
+}
+
+void ReadHeader(const json& value, const std::string& at, header_match& to,
+                faults& out) {
+  ReadObject(value, at,
+             {{"name", kRequired, ReadText(to.name)},
+              {"value", kRequired, ReadText(to.value)}},
+             unknown_keys::kRefused, out);
+}
+
+void ReadRoute(const json& value, const std::string& at, route& to,
+               faults& out) {
+  ReadObject(value, at,
+             {{"name", kRequired, ReadText(to.name)},
+              {"methods", kOptional, ReadTexts(to.methods)},
+              {"path_prefix", kRequired, ReadText(to.path_prefix)},
+              {"headers", kOptional, ReadArray(to.headers, ReadHeader)},
+              {"service", kRequired, ReadText(to.service)},
+              {"visibility", kOptional, ReadVisibility(to.seen_from)},
+              {"at_most_once", kOptional, ReadSwitch(to.at_most_once)},
+              {"timeout_ms", kOptional, ReadMilliseconds(to.timeout)}},
+             unknown_keys::kRefused, out);
+}
+
+value_reader ReadMoves(move_policy& to) {
+  return [&to](const json& value, const std::string& at, faults& out) {
+    ReadObject(value, at,
+               {{"max_unproven_percent", kOptional,
+                 ReadNumber(to.max_unproven_percent)},
+                {"bake_s", kOptional, ReadSeconds(to.bake)}},
+               unknown_keys::kRefused, out);
+  };
+}
+
+preset ReadPreset(const json& document, faults& out) {
+  preset to;
+  ReadObject(document, "",
+             {{"schema_version", kRequired, ReadWhole(to.schema_version)},
+              {"name", kRequired, ReadText(to.name)},
+              {"description", kOptional, ReadText(to.description)},
+              {"data_centres", kRequired, ReadTexts(to.data_centres)},
+              {"services", kRequired, ReadArray(to.services, ReadService)},
+              {"routes", kRequired, ReadArray(to.routes, ReadRoute)},
+              {"moves", kOptional, ReadMoves(to.moves)}},
+             unknown_keys::kRefused, out);
+  return to;
+}
+
+// A newer schema's keys would all be unknown here; the version alone is told.
+bool IsNewerSchema(const json& document, faults& out) {
+  if (!document.is_object()) return false;
+  const auto found = document.find("schema_version");
+  if (found == document.end() || !found->is_number_unsigned()) return false;
+  if (found->get<std::uint64_t>() <= std::uint64_t{kSchemaVersion}) {
+    return false;
+  }
+  out = {{"/schema_version", Excerpt(*found),
+          "at most " + std::to_string(kSchemaVersion) +
+              ", the newest that this program reads"}};
+  return true;
+}
+
+bool IsAtOrBelow(std::string_view pointer, std::string_view above) {
+  return pointer.starts_with(above) &&
+         (pointer.size() == above.size() || pointer[above.size()] == '/');
+}
+
+// Faults in content, but for those that only follow from a value which could
+// not be read: a missing name is not told a second time as an empty one.
+void AddContentFaults(const preset& value, faults& out) {
+  const faults unread = out;
+  for (fault& each : Validate(value)) {
+    const bool follows = std::ranges::any_of(unread, [&](const fault& first) {
+      return IsAtOrBelow(each.pointer, first.pointer) ||
+             IsAtOrBelow(first.pointer, each.pointer);
+    });
+    if (!follows) out.push_back(std::move(each));
+  }
+}
+
+void Cap(faults& out) {
+  if (out.size() <= kMaxFaults) return;
+  const std::size_t more = out.size() - kMaxFaults;
+  out.resize(kMaxFaults);
+  out.push_back({"", std::to_string(more) + " more", "fewer faults"});
+}
+
+ordered_json ToJson(const service& value) {
+  ordered_json versions = ordered_json::array();
+  for (const version_share& each : value.versions) {
+    versions.push_back({{"version", each.version}, {"percent", each.percent}});
+  }
+  return {{"name", value.name},
+          {"versions", std::move(versions)},
+          {"max_calls_per_second", value.max_calls_per_second},
+          {"max_in_flight_per_caller", value.max_in_flight_per_caller},
+          {"timeout_ms", value.timeout.count()},
+          {"retries",
+           {{"max_attempts", value.retries.max_attempts},
+            {"budget_percent", value.retries.budget_percent}}}};
+}
+
+ordered_json ToJson(const route& value) {
+  ordered_json headers = ordered_json::array();
+  for (const header_match& each : value.headers) {
+    headers.push_back({{"name", each.name}, {"value", each.value}});
+  }
+  return {{"name", value.name},
+          {"methods", value.methods},
+          {"path_prefix", value.path_prefix},
+          {"headers", std::move(headers)},
+          {"service", value.service},
+          {"visibility", ToText(value.seen_from)},
+          {"at_most_once", value.at_most_once},
+          {"timeout_ms", value.timeout.count()}};
+}
+
+// Text that is not UTF-8 is a fault of its own; it must not throw here.
+std::string Dump(const ordered_json& value) {
+  return value.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+}
+
+// An array with one item to a line, which keeps deltas small and readable.
+template <typename T>
+std::string LinesOf(const std::vector<T>& items) {
+  std::string text = "[";
+  std::string_view separator = "\n";
+  for (const T& item : items) {
+    text.append(separator).append(Dump(ToJson(item)));
+    separator = ",\n";
+  }
+  return text + "]";
+}
+
+}  // namespace
+
+std::variant<preset, faults> ParsePreset(std::string_view text) {
+  faults found;
+  const auto document = ReadJson(text, kMaxPresetBytes, found);
+  if (!document) return found;
+  if (IsNewerSchema(*document, found)) return found;
+  preset read = ReadPreset(*document, found);
+  AddContentFaults(read, found);
+  Cap(found);
+  if (!found.empty()) return found;
+  return read;
+}
+
+std::string ToText(const preset& value) {
+  const auto member = [](std::string_view name, const ordered_json& of) {
+    return Dump(name) + ":" + Dump(of);
+  };
+  const ordered_json moves = {
+      {"max_unproven_percent", value.moves.max_unproven_percent},
+      {"bake_s", value.moves.bake.count()}};
+  return "{" + member("schema_version", value.schema_version) + ",\n" +
+         member("name", value.name) + ",\n" +
+         member("description", value.description) + ",\n" +
+         member("data_centres", value.data_centres) + ",\n" +
+         member("moves", moves) + ",\n" +
+         "\"services\":" + LinesOf(value.services) + ",\n" +
+         "\"routes\":" + LinesOf(value.routes) + "}\n";
+}
+
+}  // namespace fireflyspar::config
--- /dev/null
+++ b/src/config/validate.cc
@@ -0,0 +1,223 @@
+#include "config/validate.h"
+
+#include <algorithm>
+#include <functional>
+#include <set>
+
+#include "config/json_document.h"
+#include "config/preset_text.h"
+#include "config/route_checks.h"
+
+namespace fireflyspar::config {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kMaxNameBytes = 100;
+constexpr std::size_t kMaxDescriptionBytes = 2000;
+constexpr std::size_t kMaxDataCentres = 64;
+constexpr std::size_t kMaxServices = 2000;
+constexpr std::size_t kMaxRoutes = 4000;
+constexpr std::size_t kMaxVersions = 20;
+constexpr int kWhole = 100;  // Percent.
+constexpr int kMaxCallsPerSecond = 10'000'000;
+constexpr int kMaxInFlight = 100'000;
+constexpr int kMaxAttempts = 5;
+constexpr milliseconds kLeastTimeout{1};
+constexpr milliseconds kMostTimeout{600'000};
+constexpr double kLeastUnprovenPercent = 0.01;
+constexpr double kMostUnprovenPercent = 50;
+constexpr seconds kMostBake{86'400};
+
+// One pass over a preset, collecting every fault.
+class checker {
+ public:
+  explicit checker(const preset& value) : value_(value) {}
+
+  faults Run() {
+    CheckHead();
+    CheckServices();
+    CheckRoutes();
+    CheckMoves();
+    CheckSize();
+    return std::move(out_);
+  }
+
+ private:
+  void Add(std::string at, const nlohmann::json& value, std::string expected) {
+    out_.push_back({std::move(at), Excerpt(value), std::move(expected)});
+  }
+
+  void CheckName(const std::string& at, const std::string& name) {
+    if (!IsName(name)) {
+      Add(at, name,
+          "a name of at most " + std::to_string(kMaxNameBytes) +
+              " lower-case letters, digits, '-', '.' or '_' that begins with a "
+              "letter or digit");
+    }
+  }
+
+  // `seen` grows by the name; a name that it has already is a fault.
+  void CheckUnique(const std::string& at, const std::string& name,
+                   std::set<std::string_view>& seen) {
+    if (!seen.insert(name).second) {
+      Add(at, name, "a name that is not taken by an earlier entry");
+    }
+  }
+
+  template <typename T>
+  void CheckRange(const std::string& at, T number, T least, T most) {
+    if (number >= least && number <= most) return;
+    const nlohmann::json from = least;
+    const nlohmann::json to = most;
+    Add(at, number, "a number from " + from.dump() + " to " + to.dump());
+  }
+
+  void CheckCount(const std::string& at, std::size_t count, std::size_t most) {
+    if (count > most) {
+      Add(at, std::to_string(count) + " entries",
+          "at most " + std::to_string(most));
+    }
+  }
+
+  void CheckHead();
+  void CheckService(const service& each, const std::string& at);
+  void CheckShares(const service& each, const std::string& at);
+  void CheckServices();
+  void CheckRoutes();
+  void CheckMoves();
+  void CheckSize();
+
+  static bool IsName(std::string_view text) {
+    const auto is_alphanumeric = [](char c) {
+      return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9');
+    };
+    return !text.empty() && text.size() <= kMaxNameBytes &&
+           is_alphanumeric(text.front()) &&
+           std::ranges::all_of(text, [&](char c) {
+             return is_alphanumeric(c) || c == '-' || c == '.' || c == '_';
+           });
+  }
+
+  const preset& value_;
+  faults out_;
+};
+
+// Whether the text can be written as JSON.
+bool IsUtf8(const std::string& text) {
+  try {
+    (void)nlohmann::json(text).dump();
+    return true;
+  } catch (const nlohmann::json::exception&) {
+    return false;
+  }
+}
+
+void checker::CheckHead() {
+  CheckRange("/schema_version", value_.schema_version, 1, kSchemaVersion);
+  CheckName("/name", value_.name);
+  if (value_.description.size() > kMaxDescriptionBytes ||
+      !IsUtf8(value_.description)) {
+    Add("/description", value_.description,
+        "UTF-8 of at most " + std::to_string(kMaxDescriptionBytes) + " bytes");
+  }
+  if (value_.data_centres.empty()) {
+    Add("/data_centres", value_.data_centres, "at least one data centre");
+  }
+  CheckCount("/data_centres", value_.data_centres.size(), kMaxDataCentres);
+  std::set<std::string_view> seen;
+  for (std::size_t i = 0; i < value_.data_centres.size(); ++i) {
+    const std::string at = PointerTo("/data_centres", i);
+    CheckName(at, value_.data_centres[i]);
+    CheckUnique(at, value_.data_centres[i], seen);
+  }
+}
+
+void checker::CheckShares(const service& each, const std::string& at) {
+  std::set<std::string_view> seen;
+  std::int64_t total = 0;
+  for (std::size_t i = 0; i < each.versions.size(); ++i) {
+    const version_share& share = each.versions[i];
+    const std::string share_at = PointerTo(at, i);
+    CheckName(share_at + "/version", share.version);
+    CheckUnique(share_at + "/version", share.version, seen);
+    CheckRange(share_at + "/percent", share.percent, 0, kWhole);
+    total += share.percent;
+  }
+  if (total != kWhole) {
+    Add(at, std::to_string(total) + " percent in all",
+        "versions whose shares add up to 100 percent");
+  }
+  CheckCount(at, each.versions.size(), kMaxVersions);
+}
+
+void checker::CheckService(const service& each, const std::string& at) {
+  CheckShares(each, at + "/versions");
+  CheckRange(at + "/max_calls_per_second", each.max_calls_per_second, 0,
+             kMaxCallsPerSecond);
+  CheckRange(at + "/max_in_flight_per_caller", each.max_in_flight_per_caller, 0,
+             kMaxInFlight);
+  CheckRange(at + "/timeout_ms", each.timeout.count(), kLeastTimeout.count(),
+             kMostTimeout.count());
+  CheckRange(at + "/retries/max_attempts", each.retries.max_attempts, 1,
+             kMaxAttempts);
+  CheckRange(at + "/retries/budget_percent", each.retries.budget_percent, 0,
+             kWhole);
+}
+
+void checker::CheckServices() {
+  CheckCount("/services", value_.services.size(), kMaxServices);
+  std::set<std::string_view> seen;
+  for (std::size_t i = 0; i < value_.services.size(); ++i) {
+    const service& each = value_.services[i];
+    const std::string at = PointerTo("/services", i);
+    CheckName(at + "/name", each.name);
+    CheckUnique(at + "/name", each.name, seen);
+    CheckService(each, at);
+  }
+}
+
+void checker::CheckRoutes() {
+  CheckCount("/routes", value_.routes.size(), kMaxRoutes);
+  std::set<std::string_view> services;
+  for (const service& each : value_.services) services.insert(each.name);
+  std::set<std::string_view> seen;
+  for (std::size_t i = 0; i < value_.routes.size(); ++i) {
+    const route& each = value_.routes[i];
+    const std::string at = PointerTo("/routes", i);
+    CheckName(at + "/name", each.name);
+    CheckUnique(at + "/name", each.name, seen);
+    if (!services.contains(each.service)) {
+      Add(at + "/service", each.service, "the name of one of the services");
+    }
+    // Zero stands for the service's own timeout.
+    CheckRange(at + "/timeout_ms", each.timeout.count(), milliseconds::rep{0},
+               kMostTimeout.count());
+    CheckMatch(each, at, out_);
+  }
+  if (value_.routes.size() <= kMaxRoutes) CheckOrder(value_.routes, out_);
+}
+
+void checker::CheckMoves() {
+  CheckRange("/moves/max_unproven_percent", value_.moves.max_unproven_percent,
+             kLeastUnprovenPercent, kMostUnprovenPercent);
+  CheckRange("/moves/bake_s", value_.moves.bake.count(), seconds::rep{0},
+             kMostBake.count());
+}
+
+// The canonical text names values that the operator's own text may leave out,
+// so it can be the longer of the two, and it is the one that is stored.
+void checker::CheckSize() {
+  const std::size_t bytes = ToText(value_).size();
+  if (bytes > kMaxPresetBytes) {
+    Add("", std::to_string(bytes) + " bytes with every default written out",
+        "at most " + std::to_string(kMaxPresetBytes) + " bytes");
+  }
+}
+
+}  // namespace
+
+faults Validate(const preset& value) { return checker(value).Run(); }
+
+}  // namespace fireflyspar::config
--- /dev/null
+++ b/src/operators/move_commands.cc
@@ -0,0 +1,146 @@
+#include "operators/move_commands.h"
+
+#include <algorithm>
+
+#include "operators/platform_calls.h"
+#include "operators/preset_commands.h"
+
+namespace fireflyspar::operators {
+namespace {
+
+using base::error_kind;
+using base::Fail;
+using decisions::move;
+using decisions::move_state;
+
+// A move's object also changes when a data centre's judges report; a taking
+// back then reads and tries again.
+constexpr int kMaxTakeBackTries = 10;
+
+std::string MoveKey(std::string_view id) {
+  return std::string(platform::kMovePrefix) + std::string(id);
+}
+
+bool Holds(const platform::object& now, const move& value) {
+  const auto read = platform::ParseMove(now.value);
+  return read && read->operation_id == value.operation_id;
+}
+
+// The preset in force must route the service's calls to the old version, or
+// there is nothing to move and nothing to compare the new version with.
+base::status CheckAgainstPreset(const context& with,
+                                const move_request& request) {
+  const auto current = ReadInForce(with);
+  if (!current) return current.Failure();
+  if (!*current) return Fail(error_kind::kBadRequest, "no preset is in force");
+  const config::version_id& id = (*current)->id;
+  const auto text = Get(with, std::string(platform::kSnapshotPrefix) + id.hash);
+  if (!text) return text.Failure();
+  const auto snapshot = config::MakeSnapshot(id, text->value);
+  if (!snapshot) return snapshot.Failure();
+  const auto& services = (*snapshot)->content.services;
+  const auto service =
+      std::ranges::find(services, request.service, &config::service::name);
+  if (service == services.end()) {
+    return Fail(error_kind::kBadRequest,
+                "the preset in force, '" + (*current)->preset +
+                    "', has no service '" + request.service + "'");
+  }
+  const auto share = std::ranges::find(service->versions, request.old_version,
+                                       &config::version_share::version);
+  if (share == service->versions.end() || share->percent == 0) {
+    return Fail(error_kind::kBadRequest,
+                "the preset in force gives no calls of '" + request.service +
+                    "' to version '" + request.old_version + "'");
+  }
+  return base::nothing{};
+}
+
+base::status CheckRequest(const move_request& request) {
+  if (request.old_version == request.new_version) {
+    return Fail(error_kind::kBadRequest, "the old and the new version are '" +
+                                             request.new_version + "' both");
+  }
+  if (request.by <= request.start) {
+    return Fail(error_kind::kBadRequest,
+                "the move would have to end before it starts");
+  }
+  return base::nothing{};
+}
+
+base::result<move> ParseMoveAt(const platform::object& from) {
+  return platform::ParseMove(from.value);
+}
+
+}  // namespace
+
+base::result<move> StartMove(const context& with, const move_request& request) {
+  if (const auto fine = CheckRequest(request); !fine) return fine.Failure();
+  const auto matches = CheckAgainstPreset(with, request);
+  if (!matches) return matches.Failure();
+  const std::string operation_id = NewOperationId(with.random);
+  const move started = {.id = request.service + "-" + operation_id,
+                        .service = request.service,
+                        .old_version = request.old_version,
+                        .new_version = request.new_version,
+                        .start = request.start,
+                        .by = request.by,
+                        .operation_id = operation_id};
+  const auto written = Write(
+      with, {.key = MoveKey(started.id),
+             .value = platform::ToText(started),
+             .if_version = 0,
+             .is_ours = [&](const auto& now) { return Holds(now, started); }});
+  if (!written) return written.Failure();
+  return ParseMoveAt(written->now);
+}
+
+base::result<std::vector<move>> ListMoves(const context& with) {
+  const auto objects = List(with, platform::kMovePrefix);
+  if (!objects) return objects.Failure();
+  std::vector<move> moves;
+  for (const platform::object& each : *objects) {
+    auto read = ParseMoveAt(each);
+    if (!read) return read.Failure();
+    moves.push_back(*std::move(read));
+  }
+  return moves;
+}
+
+base::result<move> ShowMove(const context& with, std::string_view id) {
+  const auto object = Get(with, MoveKey(id));
+  if (object) return ParseMoveAt(*object);
+  if (object.Failure().Kind() != error_kind::kNotFound) return object.Failure();
+  return Fail(error_kind::kNotFound,
+              "there is no move '" + std::string(id) + "'");
+}
+
+base::result<move> TakeBackMove(const context& with, std::string_view id) {
+  for (int tries = 0; tries < kMaxTakeBackTries; ++tries) {
+    const auto before = Get(with, MoveKey(id));
+    if (!before) return before.Failure();
+    auto current = ParseMoveAt(*before);
+    if (!current) return current.Failure();
+    if (current->is_final && current->state == move_state::kDone) {
+      return Fail(error_kind::kConflict,
+                  "move '" + current->id + "' is done already");
+    }
+    if (current->is_final) return current;
+    current->state = move_state::kTakenBack;
+    current->is_final = true;
+    current->evidence = "taken back by hand by " + with.who + " (operation " +
+                        NewOperationId(with.random) + ")";
+    const std::string text = platform::ToText(*current);
+    const auto written = Write(
+        with, {.key = before->key,
+               .value = text,
+               .if_version = before->version,
+               .is_ours = [&](const auto& now) { return now.value == text; }});
+    if (!written) return written.Failure();
+    if (written->took_effect) return current;
+  }
+  return Fail(error_kind::kConflict,
+              "move '" + std::string(id) + "' keeps changing; try again");
+}
+
+}  // namespace fireflyspar::operators
--- /dev/null
+++ b/src/platform/records.cc
@@ -0,0 +1,140 @@
+#include "platform/records.h"
+
+#include "config/json_document.h"
+
+namespace fireflyspar::platform {
+namespace {
+
+using config::faults;
+using config::ReadObject;
+using config::ReadText;
+using enum config::presence;
+using nlohmann::json;
+using nlohmann::ordered_json;
+
+constexpr std::size_t kMaxRecordBytes = 64 * 1024;
+
+constexpr std::string_view kRunningText = "running";
+constexpr std::string_view kTakenBackText = "taken_back";
+constexpr std::string_view kDoneText = "done";
+
+std::string_view ToText(decisions::move_state state) {
+  switch (state) {
+    case decisions::move_state::kRunning:
+      return kRunningText;
+    case decisions::move_state::kTakenBack:
+      return kTakenBackText;
+    case decisions::move_state::kDone:
+      break;
+  }
+  return kDoneText;
+}
+
+config::value_reader ReadState(decisions::move_state& to) {
+  return [&to](const json& value, const std::string& at, faults& out) {
+    if (value == kRunningText) {
+      to = decisions::move_state::kRunning;
+    } else if (value == kTakenBackText) {
+      to = decisions::move_state::kTakenBack;
+    } else if (value == kDoneText) {
+      to = decisions::move_state::kDone;
+    } else {
+      out.push_back(
+          {at, config::Excerpt(value), R"("running", "taken_back" or "done")"});
+    }
+  };
+}
+
+// Microseconds since the Unix epoch.
+config::value_reader ReadInstant(base::instant& to) {
+  return [&to](const json& value, const std::string& at, faults& out) {
+    if (!value.is_number_integer()) {
+      out.push_back({at, config::Excerpt(value), "a time in microseconds"});
+      return;
+    }
+    to = base::instant(base::duration(value.get<std::int64_t>()));
+  };
+}
+
+std::int64_t Microseconds(base::instant at) {
+  return at.time_since_epoch().count();
+}
+
+// Bytes that are not UTF-8, as in an operator's name, must not throw here.
+std::string Dump(const ordered_json& value) {
+  return value.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+}
+
+base::failure Malformed(std::string_view what, const faults& found) {
+  const config::fault& first = found.front();
+  return base::Fail(base::error_kind::kMalformedMessage,
+                    std::string(what) + ": at '" + first.pointer + "' stands " +
+                        first.value + ", expected " + first.expected);
+}
+
+}  // namespace
+
+std::string ToText(const in_force& value) {
+  return Dump({{"version", value.id.version},
+               {"hash", value.id.hash},
+               {"preset", value.preset},
+               {"operation_id", value.operation_id}});
+}
+
+// Keys that this program does not know are passed over, so that it can read
+// what a later one has written while the fleet is being replaced.
+base::result<in_force> ParseInForce(std::string_view text) {
+  in_force read;
+  faults found;
+  const auto document = config::ReadJson(text, kMaxRecordBytes, found);
+  if (document) {
+    ReadObject(*document, "",
+               {{"version", kRequired, config::ReadCounter(read.id.version)},
+                {"hash", kRequired, ReadText(read.id.hash)},
+                {"preset", kRequired, ReadText(read.preset)},
+                {"operation_id", kRequired, ReadText(read.operation_id)}},
+               config::unknown_keys::kIgnored, found);
+  }
+  if (!found.empty()) return Malformed(kInForceKey, found);
+  return read;
+}
+
+std::string ToText(const decisions::move& value) {
+  return Dump({{"id", value.id},
+               {"service", value.service},
+               {"old_version", value.old_version},
+               {"new_version", value.new_version},
+               {"start_us", Microseconds(value.start)},
+               {"by_us", Microseconds(value.by)},
+               {"operation_id", value.operation_id},
+               {"state", ToText(value.state)},
+               {"final", value.is_final},
+               {"evidence", value.evidence},
+               {"ready_data_centres", value.ready_data_centres}});
+}
+
+base::result<decisions::move> ParseMove(std::string_view text) {
+  decisions::move read;
+  faults found;
+  const auto document = config::ReadJson(text, kMaxRecordBytes, found);
+  if (document) {
+    ReadObject(*document, "",
+               {{"id", kRequired, ReadText(read.id)},
+                {"service", kRequired, ReadText(read.service)},
+                {"old_version", kRequired, ReadText(read.old_version)},
+                {"new_version", kRequired, ReadText(read.new_version)},
+                {"start_us", kRequired, ReadInstant(read.start)},
+                {"by_us", kRequired, ReadInstant(read.by)},
+                {"operation_id", kRequired, ReadText(read.operation_id)},
+                {"state", kRequired, ReadState(read.state)},
+                {"final", kRequired, config::ReadSwitch(read.is_final)},
+                {"evidence", kOptional, ReadText(read.evidence)},
+                {"ready_data_centres", kOptional,
+                 config::ReadTexts(read.ready_data_centres)}},
+               config::unknown_keys::kIgnored, found);
+  }
+  if (!found.empty()) return Malformed("move", found);
+  return read;
+}
+
+}  // namespace fireflyspar::platform
--- /dev/null
+++ b/tests/config/preset_text_test.cc
@@ -0,0 +1,142 @@
+#include "config/preset_text.h"
+
+#include <algorithm>
+#include <array>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "base/hash.h"
+#include "config/snapshot.h"
+
+namespace fireflyspar::config {
+namespace {
+
+std::string ReadFile(const std::filesystem::path& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+std::string ExampleText() {
+  return ReadFile(std::filesystem::path(FIREFLYSPAR_SOURCE_DIR) /
+                  "examples/kyushu/ordinary.json");
+}
+
+std::string Describe(const faults& found) {
+  std::string text;
+  for (const fault& each : found) {
+    text += each.pointer + " | " + each.value + " | " + each.expected + "\n";
+  }
+  return text;
+}
+
+// The faults of `text`; empty when it parses.
+faults FaultsOf(std::string_view text) {
+  const auto parsed = ParsePreset(text);
+  const auto* found = std::get_if<faults>(&parsed);
+  return found == nullptr ? faults{} : *found;
+}
+
+std::string Replaced(std::string text, std::string_view from,
+                     std::string_view to) {
+  const std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+bool HasFaultAt(const faults& found, std::string_view pointer) {
+  return std::ranges::find(found, pointer, &fault::pointer) != found.end();
+}
+
+TEST_CASE("every example parses and its canonical text is stable") {
+  const auto examples =
+      std::filesystem::path(FIREFLYSPAR_SOURCE_DIR) / "examples";
+  int count = 0;
+  for (const auto& entry :
+       std::filesystem::recursive_directory_iterator(examples)) {
+    if (entry.path().extension() != ".json") continue;
+    ++count;
+    INFO(entry.path().string());
+    const std::string source = ReadFile(entry.path());
+    const auto parsed = ParsePreset(source);
+    INFO(Describe(FaultsOf(source)));
+    REQUIRE(std::holds_alternative<preset>(parsed));
+    const std::string text = ToText(std::get<preset>(parsed));
+    const auto again = ParsePreset(text);
+    REQUIRE(std::holds_alternative<preset>(again));
+    CHECK(std::get<preset>(again) == std::get<preset>(parsed));
+    CHECK(ToText(std::get<preset>(again)) == text);
+  }
+  CHECK(count >= 1);
+}
+
+TEST_CASE("a snapshot's text must be what its hash names, and valid") {
+  const std::string text = ExampleText();
+  const version_id id{.version = 7, .hash = base::ContentHash(text)};
+  const auto made = MakeSnapshot(id, text);
+  REQUIRE(made);
+  CHECK((*made)->id == id);
+  CHECK((*made)->content.name == "ordinary");
+
+  const auto changed = MakeSnapshot(id, text + " ");
+  REQUIRE_FALSE(changed);
+  CHECK(changed.Failure().Kind() == base::error_kind::kMalformedMessage);
+
+  const std::string bad = Replaced(text, "\"percent\": 100", "\"percent\": 99");
+  const auto invalid =
+      MakeSnapshot({.version = 8, .hash = base::ContentHash(bad)}, bad);
+  REQUIRE_FALSE(invalid);
+  CHECK(invalid.Failure().Kind() == base::error_kind::kBadPreset);
+}
+
+TEST_CASE("what plain JSON readers let pass is a fault with its pointer") {
+  const std::string good = ExampleText();
+  struct bad_text {
+    std::string text;
+    std::string_view pointer;
+  };
+  const std::array cases = {
+      bad_text{Replaced(good, "\"percent\": 100",
+                        "\"percent\": 100, \"percent\": 100"),
+               "/services/0/versions/0/percent"},
+      bad_text{Replaced(good, "\"percent\": 100", "\"percent\": 1e999"),
+               "/services/0/versions/0"},
+      bad_text{Replaced(good, "\"percent\": 100", "\"percent\": NaN"),
+               "/services/0/versions/0"},
+      bad_text{Replaced(good, "\"percent\": 100", "\"percent\": \"100\""),
+               "/services/0/versions/0/percent"},
+      bad_text{Replaced(good, "\"percent\": 100", "\"percent\": 100.5"),
+               "/services/0/versions/0/percent"},
+      bad_text{Replaced(good, "\"percent\": 100",
+                        "\"percent\": 18446744073709551716"),
+               "/services/0/versions/0/percent"},
+      bad_text{Replaced(good, "Ordinary days", "\xC3\x28"), ""},
+      bad_text{Replaced(good, "\"percent\": 100", "\"per/c~t\": 1"),
+               "/services/0/versions/0/per~1c~0t"},
+      bad_text{Replaced(good, "\"schema_version\": 1", "\"schema_version\": 2"),
+               "/schema_version"},
+      bad_text{std::string(100'000, '['), "/0/0/0/0/0/0/0/0/0/0/0/0/0/0/0/0"},
+      bad_text{std::string(kMaxPresetBytes + 1, ' '), ""},
+      bad_text{good + "{}", ""},
+      bad_text{good.substr(0, good.find("\"percent\"")),
+               "/services/0/versions/0"},
+      bad_text{"", ""},
+      bad_text{"null", ""},
+  };
+  for (const bad_text& each : cases) {
+    INFO(each.text.substr(0, 300));
+    const faults found = FaultsOf(each.text);
+    INFO(Describe(found));
+    REQUIRE_FALSE(found.empty());
+    CHECK(HasFaultAt(found, each.pointer));
+    CHECK(std::ranges::all_of(found, [](const fault& one) {
+      return one.value.size() <= 200 && !one.expected.empty();
+    }));
+  }
+}
+
+}  // namespace
+}  // namespace fireflyspar::config
