--- a/tests/platform/http_object_api_test.cc
+++ b/tests/platform/http_object_api_test.cc
@@ -4,7 +4,7 @@
 #include <future>
 #include <string>
 
-#include "lab/platform_stand_in.h"
+#include "platform_fixture.h"
 
 namespace fireflyspar::platform {
 namespace {
@@ -12,25 +12,6 @@
 using base::error_kind;
 using std::chrono::milliseconds;
 
-// A stand-in platform and a client of it.
-struct platform_fixture {
-  lab::platform_stand_in stand_in{{}};
-  base::metrics metrics;
-  object_api api;
-
-  explicit platform_fixture(milliseconds timeout = milliseconds{10'000}) {
-    REQUIRE(stand_in.Start());
-    api = Client(timeout);
-  }
-
-  object_api Client(milliseconds timeout, call_budget* budget = nullptr) {
-    return MakeHttpObjectApi({.platform_address = stand_in.Address(),
-                              .timeout = timeout,
-                              .metrics = &metrics,
-                              .budget = budget});
-  }
-};
-
 TEST_CASE("an object is created, read, changed, listed and removed") {
   platform_fixture f;
   const auto created = f.api.put("presets/a b?/ü", "one", 0);
--- /dev/null
+++ b/tests/platform/relay_test.cc
@@ -0,0 +1,282 @@
+#include "platform/relay.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "platform_fixture.h"
+
+namespace fireflyspar::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A relay of a stand-in platform, with what it offered.
+struct relay_fixture : platform_fixture {
+  std::atomic<bool> has_job{true};
+  inbox<std::uint64_t> versions;
+  inbox<decisions::move> moves;
+  inbox<std::string> forgotten;
+  std::unique_ptr<relay> tested;
+
+  explicit relay_fixture(milliseconds timeout = milliseconds{10'000})
+      : tested(MakeRelay(Client(timeout))) {}
+
+  std::unique_ptr<relay> MakeRelay(object_api own_api) {
+    return std::make_unique<relay>(relay_options{
+        .api = std::move(own_api),
+        .random = base::SeededRandom(1),
+        .metrics = &metrics,
+        .has_job = [this] { return has_job.load(); },
+        .offer_configuration =
+            [this](const config::snapshot_ptr& configuration) {
+              versions.Add(configuration->id.version);
+            },
+        .offer_move =
+            [this](const decisions::move& value) { moves.Add(value); },
+        .forget_move = [this](const std::string& id) { forgotten.Add(id); },
+        .job_check = milliseconds{1},
+        .watch_wait = milliseconds{3'600'000},
+        .retry = {.first = milliseconds{1}, .most = milliseconds{20}}});
+  }
+
+  bool WaitForVersion(std::uint64_t wanted) {
+    return versions.WaitFor(
+        [&](std::uint64_t version) { return version == wanted; });
+  }
+
+  // The test program's limit is the backstop.
+  void WaitForFailure() {
+    const base::counter& failures =
+        metrics.Counter("fireflyspar_platform_failures_total", "job=\"relay\"");
+    while (failures.load() == 0) std::this_thread::yield();
+  }
+
+  bool OfferedVersionsGrow() const {
+    const auto all = versions.All();
+    return std::ranges::is_sorted(all, std::less_equal<>());
+  }
+
+  std::int64_t CallsAtThePlatform() const {
+    std::int64_t total = 0;
+    for (const auto& [kind, count] : stand_in.Stats().calls) total += count;
+    return total;
+  }
+};
+
+TEST_CASE("a relay offers what is in force and every later version") {
+  relay_fixture f;
+  f.PutInForce(1, "ordinary");
+  f.tested->Start();
+  REQUIRE(f.WaitForVersion(1));
+  f.PutInForce(2, "peak");
+  REQUIRE(f.WaitForVersion(2));
+  f.PutInForce(3, "ordinary");
+  REQUIRE(f.WaitForVersion(3));
+  CHECK(f.OfferedVersionsGrow());
+}
+
+TEST_CASE("a relay offers moves, their changes and their removal") {
+  relay_fixture f;
+  f.tested->Start();
+  f.StoreMove(RunningMove("m"));
+  REQUIRE(f.moves.WaitFor(
+      [](const decisions::move& each) { return each == RunningMove("m"); }));
+  auto done = RunningMove("m");
+  done.state = decisions::move_state::kDone;
+  done.is_final = true;
+  f.StoreMove(done);
+  REQUIRE(f.moves.WaitFor(
+      [&](const decisions::move& each) { return each == done; }));
+  const std::string key = std::string(kMovePrefix) + "m";
+  REQUIRE(f.api.remove(key, f.api.get(key)->version));
+  CHECK(
+      f.forgotten.WaitFor([](const std::string& each) { return each == "m"; }));
+}
+
+TEST_CASE("a node that is no relay makes no platform call") {
+  relay_fixture f;
+  f.has_job = false;
+  std::atomic<int> checks = 0;
+  inbox<int> asked;
+  relay idle({.api = f.Client(milliseconds{10'000}),
+              .random = base::SeededRandom(1),
+              .metrics = &f.metrics,
+              .has_job =
+                  [&] {
+                    asked.Add(++checks);
+                    return false;
+                  },
+              .job_check = milliseconds{1}});
+  idle.Start();
+  REQUIRE(asked.WaitFor([](int count) { return count >= 10; }));
+  idle.Stop();
+  CHECK(f.CallsAtThePlatform() == 0);
+}
+
+TEST_CASE("a node that becomes a relay reads everything") {
+  relay_fixture f;
+  f.has_job = false;
+  f.PutInForce(1, "ordinary");
+  f.tested->Start();
+  f.has_job = true;
+  CHECK(f.WaitForVersion(1));
+}
+
+TEST_CASE("a stale watch does not take a relay back") {
+  relay_fixture f;
+  f.PutInForce(1, "ordinary");
+  f.tested->Start();
+  REQUIRE(f.WaitForVersion(1));
+  f.PutInForce(2, "peak");
+  REQUIRE(f.WaitForVersion(2));
+  f.stand_in.SetFaults({.stale_watch = true});
+  f.PutInForce(3, "ordinary");  // The watch answers with version 2.
+  f.StoreMove(RunningMove("after"));
+  REQUIRE(f.moves.WaitFor(
+      [](const decisions::move& each) { return each.id == "after"; }));
+  f.stand_in.SetFaults({});
+  REQUIRE(f.WaitForVersion(3));
+  CHECK(f.OfferedVersionsGrow());
+}
+
+TEST_CASE("crossed and doubled watch answers do not take a relay back") {
+  relay_fixture f;
+  f.stand_in.SetFaults({.crossed_watch = true});
+  f.PutInForce(1, "ordinary");
+  f.tested->Start();
+  REQUIRE(f.WaitForVersion(1));
+  for (std::uint64_t version = 2; version <= 9; ++version) {
+    f.PutInForce(version, version % 2 == 0 ? "peak" : "ordinary");
+  }
+  REQUIRE(f.WaitForVersion(9));
+  CHECK(f.OfferedVersionsGrow());
+}
+
+TEST_CASE("an older in_force under a newer object version is not offered") {
+  // A platform restored from a backup may hold an older choice in a newer
+  // object.
+  relay_fixture f;
+  f.PutInForce(5, "peak");
+  f.tested->Start();
+  REQUIRE(f.WaitForVersion(5));
+  f.PutInForce(4, "ordinary");
+  f.StoreMove(RunningMove("after"));
+  REQUIRE(f.moves.WaitFor(
+      [](const decisions::move& each) { return each.id == "after"; }));
+  f.PutInForce(6, "ordinary");
+  REQUIRE(f.WaitForVersion(6));
+  CHECK(f.versions.All() == std::vector<std::uint64_t>{5, 6});
+}
+
+TEST_CASE("a relay that begins during an outage learns after it") {
+  relay_fixture f;
+  const auto outage = GENERATE(lab::platform_faults{.down = true},
+                               lab::platform_faults{.reads_per_second = -1});
+  f.stand_in.SetFaults(outage);
+  f.tested->Start();
+  f.WaitForFailure();
+  f.stand_in.SetFaults({});
+  f.PutInForce(1, "ordinary");
+  CHECK(f.WaitForVersion(1));
+}
+
+TEST_CASE("a relay whose waiting watch is cut off learns after it") {
+  relay_fixture f;
+  f.PutInForce(1, "ordinary");
+  f.tested->Start();
+  REQUIRE(f.WaitForVersion(1));
+  f.stand_in.SetFaults({.refuse_ms = 50});
+  f.WaitForFailure();
+  while (!f.api.get(kInForceKey)) std::this_thread::yield();
+  f.PutInForce(2, "peak");
+  REQUIRE(f.WaitForVersion(2));
+  CHECK(f.OfferedVersionsGrow());
+}
+
+TEST_CASE("a snapshot that is not what its hash names is never offered") {
+  relay_fixture f;
+  f.tested->Start();
+  const std::string hash = base::ContentHash(PresetText("ordinary"));
+  const std::string key = std::string(kSnapshotPrefix) + hash;
+  f.Store(key, PresetText("peak"));
+  f.PutInForce(1, "ordinary");  // Mends the snapshot as well.
+  REQUIRE(f.WaitForVersion(1));
+  f.Store(key, PresetText("peak"));
+  f.PutInForce(2, "peak");
+  REQUIRE(f.WaitForVersion(2));
+  CHECK(f.OfferedVersionsGrow());
+}
+
+TEST_CASE("a relay stops while the platform hangs") {
+  relay_fixture f(milliseconds{3'600'000});
+  f.PutInForce(1, "ordinary");
+  f.tested->Start();
+  REQUIRE(f.WaitForVersion(1));
+  f.stand_in.SetFaults({.hang = true});
+  f.tested->Stop();  // The test program's limit is the backstop.
+  SUCCEED();
+}
+
+TEST_CASE("a watch that repeats itself does not make a tight loop of calls") {
+  // The same answer again and again, each at once.
+  relay_fixture f;
+  std::atomic<int> watches = 0;
+  std::atomic<int> pauses = 0;
+  inbox<int> watched;
+  relay tested({.api = {.watch =
+                            [&](std::string_view, std::uint64_t, milliseconds) {
+                              watched.Add(++watches);
+                              return std::vector<object>{
+                                  {.key = "watched/moves/m",
+                                   .version = 1,
+                                   .value = ToText(RunningMove("m"))}};
+                            }},
+                .random =
+                    [&] {
+                      ++pauses;
+                      return std::uint64_t{1};
+                    },
+                .metrics = &f.metrics,
+                .has_job = [] { return true; },
+                .offer_move = [](const decisions::move&) {}});
+  tested.Start();
+  REQUIRE(watched.WaitFor([](int count) { return count >= 20; }));
+  tested.Stop();
+  // Every answer but the first, and perhaps the last, was followed by a pause.
+  CHECK(pauses.load() >= watches.load() - 2);
+}
+
+TEST_CASE("a starting node fetches the greatest version and the moves") {
+  relay_fixture f;
+  f.PutInForce(7, "peak");
+  f.StoreMove(RunningMove("m"));
+  const auto fetched =
+      FetchNow({.api = f.api, .random = base::SeededRandom(1)});
+  REQUIRE(fetched);
+  CHECK(fetched->configuration->id.version == 7);
+  CHECK(fetched->configuration->content.name == "peak");
+  CHECK(fetched->moves == std::vector{RunningMove("m")});
+}
+
+TEST_CASE("a starting node finds nothing in force on a new platform") {
+  relay_fixture f;
+  const auto fetched =
+      FetchNow({.api = f.api, .random = base::SeededRandom(1)});
+  REQUIRE(fetched);
+  CHECK(fetched->configuration == nullptr);
+}
+
+TEST_CASE("a starting node gives up on a platform that is down") {
+  relay_fixture f;
+  f.stand_in.SetFaults({.down = true});
+  const auto fetched = FetchNow({.api = f.api,
+                                 .random = base::SeededRandom(1),
+                                 .limit = milliseconds{20},
+                                 .retry = {.first = milliseconds{1}}});
+  REQUIRE_FALSE(fetched);
+  CHECK(fetched.Failure().Kind() == base::error_kind::kPlatformUnavailable);
+}
+
+}  // namespace
+}  // namespace fireflyspar::platform
