Thin: the share, the evidence and the judgement of moves

Cause: moves need a share that each node works out alone, evidence that survives lost and doubled reports, and a verdict. What was weighed: a write for each step of the share was ruled out, as an outage of the platform would then stop good moves. Result: decisions_test passes with five tests of one node driving a whole move. The judgement is not measured yet.

--- a/src/decisions/move.cc
+++ b/src/decisions/move.cc
@@ -26,6 +26,8 @@
   std::ranges::set_union(left.ready_data_centres, right.ready_data_centres,
                          std::back_inserter(ready));
   merged.ready_data_centres = std::move(ready);
+  merged.cleared_percent =
+      std::max(left.cleared_percent, right.cleared_percent);
   return merged;
 }
 
--- a/src/decisions/move.h
+++ b/src/decisions/move.h
@@ -37,6 +37,11 @@
   bool is_final = false;  // The outcome stands at the platform.
   std::string evidence;   // One sentence, once the move is done or taken back.
 
+  // The share of calls, in whole percent, that the new version has earned by
+  // evidence; zero until a judge has raised it. It only grows, so merging takes
+  // the greater one.
+  int cleared_percent = 0;
+
   // Data centres whose judges found the new version good at full share for the
   // whole bake; sorted. The move is done when every data centre is in here.
   std::vector<std::string> ready_data_centres;
--- /dev/null
+++ b/src/decisions/sequential_test.cc
@@ -0,0 +1,102 @@
+#include "decisions/sequential_test.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace fireflyspar::decisions {
+namespace {
+
+// Rates are kept away from 0 and 1, where a single call could prove anything.
+constexpr double kLeastRate = 1e-4;
+constexpr double kGreatestRate = 0.999;
+
+// The old rate t for which (t, t + tolerance) is the point of the null that is
+// nearest to (a, b): where the slope of n0 KL(a|t) + n1 KL(b|t+tolerance) is
+// zero. The slope grows with t, so halving the interval finds it.
+double NearestNull(const trial_block& block, double a, double b,
+                   double tolerance) {
+  constexpr int kHalvings = 40;
+  const auto n0 = static_cast<double>(block.old_calls);
+  const auto n1 = static_cast<double>(block.new_calls);
+  double low = a;
+  double high = b - tolerance;
+  for (int step = 0; step < kHalvings; ++step) {
+    const double t = (low + high) / 2;
+    const double u = t + tolerance;
+    const double slope =
+        n0 * (t - a) / (t * (1 - t)) + n1 * (u - b) / (u * (1 - u));
+    (slope < 0 ? low : high) = t;
+  }
+  return (low + high) / 2;
+}
+
+// log of p(hits | rate) / p(hits | null_rate).
+double LogRatio(std::uint64_t calls, std::uint64_t hits, double rate,
+                double null_rate) {
+  const auto yes = static_cast<double>(hits);
+  const auto no = static_cast<double>(calls - hits);
+  return yes * std::log(rate / null_rate) +
+         no * std::log((1 - rate) / (1 - null_rate));
+}
+
+// The weight of "the fault begins with this block". Half lies on the first
+// block; the rest is spread so that all weights together add up to one: the
+// sum over k >= 1 of s / ((k + s - 1) (k + s)) is one.
+double WeightOfStart(std::uint64_t block) {
+  constexpr double kSpread = 500;
+  constexpr double kHalf = 0.5;
+  if (block == 0) return kHalf;
+  const auto k = static_cast<double>(block);
+  return kHalf * kSpread / ((k + kSpread - 1) * (k + kSpread));
+}
+
+}  // namespace
+
+double LogBlockEvidence(const trial_block& block, double a, double b,
+                        double tolerance) {
+  if (block.old_calls == 0 || block.new_calls == 0) return 0;
+  const double t = NearestNull(block, a, b, tolerance);
+  return LogRatio(block.old_calls, block.old_hits, a, t) +
+         LogRatio(block.new_calls, block.new_hits, b, t + tolerance);
+}
+
+sequential_test::sequential_test(const sequential_test_options& options)
+    : options_(options),
+      old_hits_(options.expected_rate * options.expected_weight),
+      old_calls_(options.expected_weight) {}
+
+void sequential_test::Add(const trial_block& block) {
+  constexpr double kMostLog = 300;  // Keeps the products within a double.
+  const double a = OldRate();
+  const double weight = WeightOfStart(blocks_++) / kExcessCount;
+  for (std::size_t i = 0; i < kExcessCount; ++i) {
+    const double b = std::min(a + options_.excesses[i], kGreatestRate);
+    if (b <= a + options_.tolerance) continue;
+    const double gain = std::clamp(
+        LogBlockEvidence(block, a, b, options_.tolerance), -kMostLog, kMostLog);
+    evidence_[i] =
+        std::min((evidence_[i] + weight) * std::exp(gain), std::exp(kMostLog));
+  }
+  Learn(block);
+}
+
+void sequential_test::Learn(const trial_block& block) {
+  constexpr double kMemoryCalls = 1000;
+  old_calls_ += static_cast<double>(block.old_calls);
+  old_hits_ += static_cast<double>(block.old_hits);
+  if (old_calls_ <= kMemoryCalls) return;
+  old_hits_ *= kMemoryCalls / old_calls_;
+  old_calls_ = kMemoryCalls;
+}
+
+double sequential_test::LogEvidence() const {
+  const double sum = std::accumulate(evidence_.begin(), evidence_.end(), 0.0);
+  return sum > 0 ? std::log(sum) : -std::log(2.0);
+}
+
+double sequential_test::OldRate() const {
+  return std::clamp(old_hits_ / old_calls_, kLeastRate, kGreatestRate);
+}
+
+}  // namespace fireflyspar::decisions
--- /dev/null
+++ b/tests/decisions/move_tracker_test.cc
@@ -0,0 +1,141 @@
+#include "decisions/move_tracker.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace fireflyspar::decisions {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::instant kStart{seconds(1'000'000)};
+
+move MoveOf(std::string id = "m") {
+  return {.id = std::move(id),
+          .service = "history",
+          .old_version = "1",
+          .new_version = "2",
+          .start = kStart,
+          .by = kStart + seconds(300)};
+}
+
+// One node that is its own judge, fed `calls_per_tick` calls each quarter of a
+// second, whose new version fails `failures_in_100` of 100 calls from
+// `bad_from` on.
+struct lone_node {
+  move value = MoveOf();
+  move_tracker tracker{
+      {.node_id = "n1",
+       .data_centre = "fukuoka",
+       .incarnation = 1,
+       .policy = {.max_unproven_percent = 2, .bake = seconds(30)}}};
+  base::instant now = kStart;
+  int calls_per_tick = 50;
+  int failures_in_100 = 0;
+  base::duration bad_from = seconds(0);
+  double owed_new = 0;
+  int new_calls = 0;
+  double greatest_share = 0;
+  bool is_ready = false;
+  bool is_taken_back = false;
+
+  void Step() {
+    tracker.SetMoves(std::vector<move>{value}, now);
+    const double share = tracker.MovedShare(value, now);
+    greatest_share = std::max(greatest_share, share);
+    for (int call = 0; call < calls_per_tick; ++call) Call(share);
+    move_effects effects = tracker.Tick(now);
+    for (const auto& report : effects.reports_to_send) {
+      tracker.Merge(report, now);
+    }
+    for (const move& verdict : effects.verdicts) Take(verdict);
+    for (const move& cleared : effects.cleared) Take(cleared);
+    is_ready = is_ready || !effects.ready.empty();
+    now += milliseconds(250);
+  }
+
+  void Take(const move& heard) {
+    value = Merge(value, heard);
+    is_taken_back = value.state == move_state::kTakenBack;
+  }
+
+  void Call(double share) {
+    owed_new += share;
+    const bool is_new = owed_new >= 1;
+    if (is_new) owed_new -= 1;
+    if (is_new) ++new_calls;
+    const bool is_bad =
+        is_new && now - kStart >= bad_from && new_calls % 100 < failures_in_100;
+    tracker.Record({.service = "history",
+                    .route = "lookup",
+                    .version = is_new ? "2" : "1",
+                    .failed = is_bad,
+                    .latency = milliseconds(10)},
+                   now);
+  }
+
+  void RunUntil(base::duration since_start) {
+    while (now - kStart < since_start && !is_taken_back) Step();
+  }
+};
+
+TEST_CASE(
+    "a good version reaches the full share and is ready before its time") {
+  lone_node node;
+  node.RunUntil(seconds(300));
+  CHECK_FALSE(node.is_taken_back);
+  CHECK(node.value.cleared_percent == 100);
+  CHECK(node.greatest_share == Approx(0.95));
+  CHECK(node.is_ready);
+}
+
+TEST_CASE("a version that fails at once is taken back at the unproven share") {
+  lone_node node;
+  node.failures_in_100 = 100;
+  node.RunUntil(seconds(300));
+  CHECK(node.is_taken_back);
+  CHECK(node.greatest_share <= 0.021);
+  CHECK(node.new_calls < 20);
+  CHECK(node.value.evidence.find("2 failed") == 0);
+  CHECK(node.tracker.MovedShare(node.value, node.now) == 0);
+}
+
+TEST_CASE("a version that fails late is taken back") {
+  lone_node node;
+  node.failures_in_100 = 30;
+  node.bad_from = seconds(200);
+  node.RunUntil(seconds(300));
+  CHECK(node.is_taken_back);
+  CHECK_FALSE(node.is_ready);
+}
+
+TEST_CASE("without any calls nothing is proven and nothing grows") {
+  lone_node node;
+  node.calls_per_tick = 0;
+  node.RunUntil(seconds(400));
+  CHECK_FALSE(node.is_taken_back);
+  CHECK_FALSE(node.is_ready);
+  CHECK(node.value.cleared_percent == 0);
+  CHECK(node.tracker.MovedShare(node.value, node.now) <= 0.02);
+  CHECK(node.tracker.Progress("m", node.now).find("nothing is proven") !=
+        std::string::npos);
+}
+
+TEST_CASE("a second move of a service waits for the first to be final") {
+  move_tracker tracker({.node_id = "n1"});
+  move first = MoveOf("first");
+  const move second = MoveOf("second");
+  const base::instant now = kStart + seconds(10);
+  tracker.SetMoves(std::vector<move>{first, second}, now);
+  CHECK(tracker.MovedShare(first, now) > 0);
+  CHECK(tracker.MovedShare(second, now) == 0);
+  first.state = move_state::kDone;
+  first.is_final = true;
+  tracker.SetMoves(std::vector<move>{first, second}, now);
+  CHECK(tracker.MovedShare(first, now) == 1);
+  CHECK(tracker.MovedShare(second, now) > 0);
+}
+
+}  // namespace
+}  // namespace fireflyspar::decisions
