Add the operators' port, and the lab's processes and deployments

The lab starts a whole deployment as separate processes, each data centre in a loopback range of its own, so that failure tests can kill, stop and cut off what they like. The product starts no process; the lab isn't shipped.

--- /dev/null
+++ b/lab/deployment.h
@@ -0,0 +1,131 @@
+// A whole deployment on loopback, as separate processes: a stand-in platform,
+// and for each instance a stand-in backend server with its node. Each data
+// centre has its own loopback range, 127.NET.DC.INSTANCE, so that a data centre
+// can be cut off by one prefix. Everything that was started is ended when the
+// object goes away.
+#ifndef FIREFLYSPAR_LAB_DEPLOYMENT_H_
+#define FIREFLYSPAR_LAB_DEPLOYMENT_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "base/address.h"
+#include "base/result.h"
+#include "lab/process.h"
+
+namespace fireflyspar::lab {
+
+struct server_plan {
+  std::string service;
+  std::string version;
+  int servers = 1;
+  int slots = 6;
+  std::vector<std::string> extra;  // Further flags of the stand-in server.
+};
+
+struct deployment_options {
+  std::string binaries;  // The build folder.
+  std::string log_folder;
+  int net = 1;  // The second number of every address; keeps tests apart.
+  std::vector<std::string> data_centres;
+  std::vector<server_plan> plans;
+};
+
+struct instance {
+  int number = 0;
+  std::string data_centre;
+  server_plan plan;
+  std::string ip;
+  std::vector<process> node;  // Empty or one, as it is killed and restarted.
+  std::vector<process> server;
+
+  base::address At(std::uint16_t port) const {
+    return {.ip = ip, .port = port};
+  }
+};
+
+// Ports, the same on every instance.
+inline constexpr std::uint16_t kOutsidePort = 8080;
+inline constexpr std::uint16_t kInsidePort = 8081;
+inline constexpr std::uint16_t kGatePort = 8082;
+inline constexpr std::uint16_t kRpcPort = 8083;
+inline constexpr std::uint16_t kOperatorsPort = 8084;
+inline constexpr std::uint16_t kServerPort = 9000;
+inline constexpr std::uint16_t kPlatformPort = 8090;
+
+class deployment {
+ public:
+  explicit deployment(deployment_options options);
+
+  // Starts the platform and all instances; returns once every node is ready or
+  // `limit` has passed, which is a failure.
+  base::status Start(std::chrono::seconds limit);
+
+  base::status StartPlatform();
+  base::status StartNode(instance& at);
+  base::status StartServer(instance& at);
+
+  // Adds an instance to the data centre with the fewest, and starts it.
+  base::result<instance*> AddInstance(const server_plan& plan);
+
+  // Runs the product's command line against this platform and gives its exit
+  // code; its output goes to the log folder and, when asked for, to `output`.
+  int Command(std::vector<std::string> arguments,
+              std::string* output = nullptr);
+
+  // True as soon as `holds` is; false when the limit passes first.
+  static bool WaitFor(const std::function<bool()>& holds,
+                      std::chrono::seconds limit);
+
+  // True when every running node reports that configuration version or later.
+  bool AllAt(std::uint64_t version) const;
+
+  // The configuration version that a node reports; zero when it does not
+  // answer.
+  static std::uint64_t VersionAt(const instance& at);
+
+  // A counter of a node's /metrics, summed over all labels; zero if absent.
+  static double Metric(const instance& at, std::string_view name);
+
+  // Cuts two data centres off from each other, in both directions, or heals
+  // every cut.
+  void Cut(std::string_view left, std::string_view right);
+  void CutFromPlatform(std::string_view data_centre);
+  void Heal();
+
+  std::vector<std::unique_ptr<instance>>& Instances() { return instances_; }
+  const std::vector<std::unique_ptr<instance>>& Instances() const {
+    return instances_;
+  }
+  base::address PlatformAddress() const;
+  process& Platform() { return platform_.front(); }
+
+  // Ends the platform, as an outage that no retry gets through.
+  void StopPlatform() { platform_.clear(); }
+
+ private:
+  void Place(const server_plan& plan);
+  std::string Ip(int data_centre, int number) const;
+  std::string Prefix(std::string_view data_centre) const;
+  std::string Log(const std::string& name) const;
+  std::string Seeds() const;
+
+  deployment_options options_;
+  std::vector<process> platform_;
+  std::vector<std::unique_ptr<instance>> instances_;
+  int next_number_ = 1;
+};
+
+// The brief's two deployments as they are today.
+deployment_options KyushuDeployment(const std::string& binaries,
+                                    const std::string& log_folder);
+deployment_options GlassbackDeployment(const std::string& binaries,
+                                       const std::string& log_folder);
+
+}  // namespace fireflyspar::lab
+
+#endif  // FIREFLYSPAR_LAB_DEPLOYMENT_H_
--- /dev/null
+++ b/lab/http.h
@@ -0,0 +1,35 @@
+// One HTTP request of the lab to a node or a stand-in, by cpprestsdk's client.
+#ifndef FIREFLYSPAR_LAB_HTTP_H_
+#define FIREFLYSPAR_LAB_HTTP_H_
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "base/address.h"
+#include "base/result.h"
+
+namespace fireflyspar::lab {
+
+struct http_call {
+  std::string method = "GET";
+  base::address target;
+  std::string path = "/";
+  std::map<std::string, std::string> headers;
+  std::string body;
+  std::chrono::milliseconds timeout{5000};
+};
+
+struct http_reply {
+  int status = 0;
+  std::map<std::string, std::string> headers;
+  std::string body;
+};
+
+// Fails with kPeerUnavailable when no whole answer came.
+base::result<http_reply> Request(const http_call& call);
+
+}  // namespace fireflyspar::lab
+
+#endif  // FIREFLYSPAR_LAB_HTTP_H_
--- /dev/null
+++ b/src/operators/endpoint.cc
@@ -0,0 +1,126 @@
+#include "operators/endpoint.h"
+
+#include <cpprest/http_listener.h>
+#include <pplx/threadpool.h>
+
+#include <algorithm>
+#include <exception>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace fireflyspar::operators {
+namespace {
+
+namespace http = web::http;
+using http::experimental::listener::http_listener;
+
+endpoint_answer RunHandler(const endpoint_handler& handler,
+                           const std::string& body) {
+  try {
+    return handler.run(body);
+  } catch (const std::exception& error) {
+    return AnswerTo(base::Fail(base::error_kind::kInternal, error.what()));
+  }
+}
+
+endpoint_answer Dispatch(const endpoint_options& options,
+                         const std::string& method, const std::string& path,
+                         const std::string& body) {
+  const auto found =
+      std::ranges::find_if(options.handlers, [&](const endpoint_handler& each) {
+        return each.method == method && each.path == path;
+      });
+  if (found == options.handlers.end()) {
+    return AnswerTo(base::Fail(base::error_kind::kNotFound,
+                               "nothing answers " + method + " " + path));
+  }
+  if (body.size() > options.max_body_bytes) {
+    return AnswerTo(base::Fail(base::error_kind::kTooLarge,
+                               "a body of " + std::to_string(body.size()) +
+                                   " bytes is over the limit of " +
+                                   std::to_string(options.max_body_bytes)));
+  }
+  return RunHandler(*found, body);
+}
+
+void Reply(const http::http_request& request, const endpoint_answer& answer) {
+  http::http_response response(static_cast<http::status_code>(answer.status));
+  response.set_body(answer.body, answer.content_type);
+  // A client that has gone away is no concern of ours.
+  request.reply(response).then([](const pplx::task<void>& sent) {
+    try {
+      sent.get();
+    } catch (const std::exception&) {
+    }
+  });
+}
+
+}  // namespace
+
+endpoint_answer AnswerTo(const base::failure& failure) {
+  const base::answer& row = base::AnswerFor(failure.Kind());
+  const nlohmann::json body = {{"error", row.name}, {"detail", failure.detail}};
+  return {.status = row.http_status, .body = body.dump() + "\n"};
+}
+
+class endpoint::state {
+ public:
+  explicit state(endpoint_options options) : options_(std::move(options)) {}
+
+  base::status Start() {
+    const std::string uri = "http://" + options_.listen_address.ToText();
+    try {
+      // Fails when the process has set the pool's size before; the pool is
+      // shared, so the first to come decides.
+      crossplat::threadpool::initialize_with_threads(options_.threads);
+    } catch (const std::exception&) {
+    }
+    try {
+      listener_ = std::make_unique<http_listener>(uri);
+      listener_->support(
+          [this](http::http_request request) { Handle(std::move(request)); });
+      listener_->open().wait();
+    } catch (const std::exception& error) {
+      return base::Fail(base::error_kind::kBadSettings,
+                        "cannot listen on " + uri + ": " + error.what());
+    }
+    return base::nothing{};
+  }
+
+  void Stop() {
+    if (!listener_) return;
+    try {
+      listener_->close().wait();
+    } catch (const std::exception&) {
+    }
+    listener_.reset();
+  }
+
+ private:
+  void Handle(http::http_request request) {
+    request.extract_string(true).then(
+        [this, request](const pplx::task<std::string>& read) {
+          try {
+            Reply(request, Dispatch(options_, request.method(),
+                                    request.relative_uri().path(), read.get()));
+          } catch (const std::exception& error) {
+            Reply(request, AnswerTo(base::Fail(base::error_kind::kBadRequest,
+                                               error.what())));
+          }
+        });
+  }
+
+  endpoint_options options_;
+  std::unique_ptr<http_listener> listener_;
+};
+
+endpoint::endpoint(endpoint_options options)
+    : state_(std::make_unique<state>(std::move(options))) {}
+
+endpoint::~endpoint() { Stop(); }
+
+base::status endpoint::Start() { return state_->Start(); }
+
+void endpoint::Stop() { state_->Stop(); }
+
+}  // namespace fireflyspar::operators
