--- a/lab/commands.cc
+++ b/lab/commands.cc
@@ -1,7 +1,19 @@
 #include "lab/commands.h"
 
+#include "lab/backend_server.h"
+#include "lab/load.h"
+
 namespace fireflyspar::lab {
 
-std::vector<app::command> Commands() { return {}; }
+std::vector<app::command> Commands() {
+  return {
+      {.name = "backend-server",
+       .summary = "run a stand-in backend server",
+       .run = RunBackendServer},
+      {.name = "load",
+       .summary = "send calls at a steady rate",
+       .run = RunLoadCommand},
+  };
+}
 
 }  // namespace fireflyspar::lab
--- /dev/null
+++ b/lab/load.h
@@ -0,0 +1,50 @@
+// An open-loop load generator: calls are sent at their intended times whether
+// or not earlier ones were answered, and latency counts from the intended time,
+// so that a stall is not hidden.
+#ifndef FIREFLYSPAR_LAB_LOAD_H_
+#define FIREFLYSPAR_LAB_LOAD_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "base/address.h"
+
+namespace fireflyspar::lab {
+
+struct load_options {
+  base::address target;
+  double rate = 100;  // Calls a second.
+  std::chrono::milliseconds duration{1000};
+  std::string method = "GET";
+  std::string path = "/";
+  int connections = 4;
+  int body_bytes = 0;
+  bool idempotency_keys = false;  // A fresh one with each call.
+  std::string host = "lab";
+  std::map<std::string, std::string> headers;
+};
+
+struct load_result {
+  std::int64_t sent = 0;
+  std::map<int, std::int64_t> by_status;
+  std::int64_t cut = 0;    // Connection refused or broken, or a cut answer.
+  std::int64_t wrong = 0;  // An answer that belongs to another call.
+  std::vector<std::chrono::microseconds> latencies;  // Of whole answers, sorted.
+
+  std::chrono::microseconds Quantile(double quantile) const;
+  nlohmann::json ToJson() const;
+};
+
+load_result RunLoad(const load_options& options);
+
+// The subcommand `load`.
+int RunLoadCommand(std::span<const std::string> arguments);
+
+}  // namespace fireflyspar::lab
+
+#endif  // FIREFLYSPAR_LAB_LOAD_H_
--- /dev/null
+++ b/src/backend_servers/connection_pool.h
@@ -0,0 +1,40 @@
+// Idle kept-alive connections of one worker thread, by the address they lead
+// to. A connection whose last exchange did not end cleanly never comes back
+// here.
+#ifndef FIREFLYSPAR_BACKEND_SERVERS_CONNECTION_POOL_H_
+#define FIREFLYSPAR_BACKEND_SERVERS_CONNECTION_POOL_H_
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "backend_servers/http.h"
+
+namespace fireflyspar::backend_servers {
+
+class connection_pool {
+ public:
+  explicit connection_pool(net::any_io_executor executor)
+      : executor_(std::move(executor)) {}
+
+  // An idle connection that its peer has not closed, or null.
+  std::unique_ptr<connection> Take(const base::address& to);
+
+  void Give(const base::address& to, std::unique_ptr<connection> idle);
+
+  const net::any_io_executor& Executor() const { return executor_; }
+
+ private:
+  struct idle_connection {
+    std::unique_ptr<connection> held;
+    std::chrono::steady_clock::time_point since;
+  };
+
+  net::any_io_executor executor_;
+  std::map<base::address, std::vector<idle_connection>> idle_;
+};
+
+}  // namespace fireflyspar::backend_servers
+
+#endif  // FIREFLYSPAR_BACKEND_SERVERS_CONNECTION_POOL_H_
--- /dev/null
+++ b/src/backend_servers/http.cc
@@ -0,0 +1,90 @@
+#include "backend_servers/http.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "backend_servers/headers.h"
+
+namespace fireflyspar::backend_servers {
+namespace {
+
+constexpr std::array<std::string_view, 9> kConnectionHeaders = {
+    "Connection",       "Keep-Alive",          "Proxy-Connection",
+    "Proxy-Authenticate", "Proxy-Authorization", "TE",
+    "Trailer",          "Transfer-Encoding",   "Upgrade"};
+
+bool StartsWithIgnoringCase(std::string_view text, std::string_view prefix) {
+  return text.size() >= prefix.size() &&
+         std::ranges::equal(text.substr(0, prefix.size()), prefix,
+                            [](unsigned char left, unsigned char right) {
+                              return std::tolower(left) == right;
+                            });
+}
+
+}  // namespace
+
+std::string_view HeaderOf(const http_request& message, std::string_view name) {
+  return ToView(message[ToBeast(name)]);
+}
+
+std::string_view HeaderOf(const http_response& message,
+                          std::string_view name) {
+  return ToView(message[ToBeast(name)]);
+}
+
+void DropConnectionHeaders(http::fields& headers) {
+  std::vector<std::string> named;
+  for (const auto& token : http::token_list(headers[http::field::connection])) {
+    named.emplace_back(token);
+  }
+  for (const std::string& name : named) headers.erase(name);
+  for (const std::string_view name : kConnectionHeaders) {
+    headers.erase(ToBeast(name));
+  }
+}
+
+void DropHeadersWithPrefix(http::fields& headers, std::string_view prefix) {
+  for (auto each = headers.begin(); each != headers.end();) {
+    if (StartsWithIgnoringCase(ToView(each->name_string()), prefix)) {
+      each = headers.erase(each);
+    } else {
+      ++each;
+    }
+  }
+}
+
+tcp::endpoint ToEndpoint(const base::address& address) {
+  boost::system::error_code ignored;
+  return {net::ip::make_address(address.ip, ignored), address.port};
+}
+
+base::address ToAddress(const tcp::endpoint& endpoint) {
+  return {.ip = endpoint.address().to_string(), .port = endpoint.port()};
+}
+
+http_response MakeRefusal(base::error_kind kind, std::string_view detail) {
+  const base::answer& row = base::AnswerFor(kind);
+  http_response response;
+  response.version(11);
+  response.result(static_cast<unsigned>(row.http_status));
+  // A status that the library does not know, as 499, has no reason phrase.
+  if (response.result() == http::status::unknown) response.reason("Refused");
+  response.set(http::field::content_type, "application/json");
+  response.set(kRunHeader, ToBeast(base::ToText(row.state)));
+  if (row.retry_after.count() > 0) {
+    response.set(http::field::retry_after,
+                 std::to_string(row.retry_after.count()));
+  }
+  const nlohmann::json body = {{"error", row.name},
+                               {"detail", detail},
+                               {"run", base::ToText(row.state)}};
+  response.body() =
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  response.prepare_payload();
+  return response;
+}
+
+}  // namespace fireflyspar::backend_servers
--- /dev/null
+++ b/src/backend_servers/local_server.cc
@@ -0,0 +1,203 @@
+#include "backend_servers/local_server.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <chrono>
+#include <memory>
+#include <utility>
+
+#include "backend_servers/exchange.h"
+#include "backend_servers/gate_state.h"
+#include "backend_servers/headers.h"
+
+namespace fireflyspar::backend_servers {
+namespace {
+
+using base::error_kind;
+using base::run_state;
+using decisions::admission_ending;
+using decisions::admission_step;
+using decisions::admission_verdict;
+using std::chrono::milliseconds;
+
+// A request that waits in the gate's queue. Its turn comes from another thread;
+// the timer then wakes the one that waits.
+struct waiting_turn {
+  explicit waiting_turn(const net::any_io_executor& executor)
+      : timer(executor) {}
+
+  net::steady_timer timer;
+  bool has_come = false;
+  admission_verdict verdict;
+};
+
+// Makes sure that a request which was let in leaves the gate exactly once.
+class gate_pass {
+ public:
+  explicit gate_pass(gate::state& through) : through_(through) {}
+  ~gate_pass() { through_.Leave(ending_); }
+  gate_pass(const gate_pass&) = delete;
+  gate_pass& operator=(const gate_pass&) = delete;
+
+  void EndWith(const admission_ending& ending) { ending_ = ending; }
+
+ private:
+  gate::state& through_;
+  admission_ending ending_;
+};
+
+net::awaitable<admission_verdict> EnterGate(gate::state& through,
+                                            const net::any_io_executor& here,
+                                            base::instant deadline,
+                                            cancellation& cancel) {
+  auto turn = std::make_shared<waiting_turn>(here);
+  const auto on_turn = [turn, here](const admission_verdict& verdict) {
+    net::post(here, [turn, verdict] {
+      turn->verdict = verdict;
+      turn->has_come = true;
+      turn->timer.cancel();
+    });
+  };
+  const gate::state::entry entered = through.Enter(deadline, on_turn);
+  if (entered.verdict.step != admission_step::kWait) co_return entered.verdict;
+
+  turn->timer.expires_at(net::steady_timer::time_point::max());
+  cancel.OnCancel([&through, turn, ticket = entered.ticket] {
+    if (!through.Abandon(ticket)) return;
+    turn->verdict = {.step = admission_step::kRefuse,
+                     .reason = error_kind::kCancelled};
+    turn->has_come = true;
+    turn->timer.cancel();
+  });
+  boost::system::error_code ignored;
+  auto token = net::redirect_error(net::use_awaitable, ignored);
+  while (!turn->has_come) co_await turn->timer.async_wait(token);
+  cancel.OnCancel(nullptr);
+  co_return turn->verdict;
+}
+
+milliseconds TimeLeft(base::instant deadline, base::instant now) {
+  return std::max(milliseconds(0),
+                  std::chrono::duration_cast<milliseconds>(deadline - now));
+}
+
+// True when the server itself says that it did not run the request.
+bool IsShed(const http_response& answer) {
+  return answer.result_int() / 100 == 5 &&
+         HeaderOf(answer, kRunHeader) == base::ToText(run_state::kNotRun);
+}
+
+gate_answer FromExchange(exchange_result&& ended) {
+  if (ended.end == exchange_end::kAnswered) {
+    if (IsShed(ended.answer)) {
+      return RefusedByGate(error_kind::kShed, "the backend server shed it");
+    }
+    return {.answer = std::move(ended.answer)};
+  }
+  if (!ended.sent) {
+    switch (ended.end) {
+      case exchange_end::kCancelled:
+        return RefusedByGate(error_kind::kCancelled, "the caller went away");
+      case exchange_end::kTimedOut:
+        return RefusedByGate(error_kind::kDeadlinePassed, ended.detail);
+      default:
+        return RefusedByGate(error_kind::kNoServer, ended.detail);
+    }
+  }
+  gate_answer lost =
+      RefusedByGate(error_kind::kServerFailed, std::move(ended.detail));
+  lost.run = run_state::kUnknown;
+  return lost;
+}
+
+error_kind KindNamed(std::string_view name) {
+  const auto table = base::AnswerTable();
+  const auto row = std::ranges::find(table, name, &base::answer::name);
+  return row == table.end() ? error_kind::kInternal : row->kind;
+}
+
+}  // namespace
+
+gate_answer RefusedByGate(base::error_kind refusal, std::string detail) {
+  return {.is_refusal = true, .refusal = refusal, .detail = std::move(detail)};
+}
+
+net::awaitable<gate_answer> RunAtLocalServer(gate& through,
+                                             const base::clock_hook& clock,
+                                             connection_pool& pool,
+                                             const local_call& call,
+                                             http_request& request,
+                                             cancellation& cancel) {
+  gate::state& state = through.State();
+  const announcement local = state.Local();
+  gate_answer result;
+  if (local.server.service != call.service ||
+      local.server.version != call.version) {
+    // The router's view is behind: the server beside this node has changed.
+    result = RefusedByGate(error_kind::kNoServer, "another server is here");
+    co_return result;
+  }
+  const admission_verdict verdict =
+      co_await EnterGate(state, pool.Executor(), call.deadline, cancel);
+  if (verdict.step != admission_step::kRun) {
+    result = RefusedByGate(verdict.reason, "refused at the gate");
+    result.busy = state.Busy();
+    co_return result;
+  }
+  gate_pass pass(state);
+  const base::instant begun = clock();
+  const milliseconds left = TimeLeft(call.deadline, begun);
+  request.set(kDeadlineHeader, std::to_string(left.count()));
+  exchange_options options{
+      .to = local.server_address,
+      .deadline = std::chrono::steady_clock::now() + left};
+  options.may_send = [&] { return clock() < call.deadline; };
+  exchange_result ended = co_await Exchange(pool, options, request, cancel);
+  result = FromExchange(std::move(ended));
+  pass.EndWith({.shed = result.is_refusal &&
+                        result.refusal == error_kind::kShed,
+                .duration = clock() - begun});
+  result.busy = state.Busy() - 1;
+  co_return result;
+}
+
+http_response ToMessage(gate_answer answer) {
+  http_response message;
+  if (answer.is_refusal) {
+    message = MakeRefusal(answer.refusal, answer.detail);
+    message.set(kRefusalHeader,
+                ToBeast(base::AnswerFor(answer.refusal).name));
+    message.set(kRunHeader, ToBeast(base::ToText(answer.run)));
+  } else {
+    message = std::move(answer.answer);
+    message.erase(kRefusalHeader);
+  }
+  message.set(kBusyHeader, std::to_string(answer.busy));
+  return message;
+}
+
+gate_answer FromMessage(http_response message) {
+  gate_answer answer;
+  const std::string_view refusal = HeaderOf(message, kRefusalHeader);
+  if (!refusal.empty()) {
+    answer.is_refusal = true;
+    answer.refusal = KindNamed(refusal);
+    answer.run = HeaderOf(message, kRunHeader) ==
+                         base::ToText(run_state::kNotRun)
+                     ? run_state::kNotRun
+                     : run_state::kUnknown;
+    answer.detail = "refused by the gate";
+  }
+  const std::string_view busy = HeaderOf(message, kBusyHeader);
+  std::from_chars(busy.data(), busy.data() + busy.size(), answer.busy);
+  message.erase(kBusyHeader);
+  message.erase(kExchangeHeader);
+  answer.answer = std::move(message);
+  return answer;
+}
+
+}  // namespace fireflyspar::backend_servers
--- /dev/null
+++ b/src/callers/call_path.cc
@@ -0,0 +1,92 @@
+#include "callers/call_path.h"
+
+#include <array>
+#include <chrono>
+#include <thread>
+#include <utility>
+
+#include "callers/http_listener.h"
+#include "callers/router.h"
+#include "callers/worker_pool.h"
+
+namespace fireflyspar::callers {
+
+class call_path::state {
+ public:
+  explicit state(call_path_options options)
+      : options_(std::move(options)),
+        workers_(options_.workers),
+        router_(options_) {
+    using config::visibility;
+    Listen(options_.outside_address, [this](incoming& call) {
+      return router_.Route(call, visibility::kOutside);
+    });
+    Listen(options_.inside_address, [this](incoming& call) {
+      return router_.Route(call, visibility::kInside);
+    });
+    Listen(options_.gate_address,
+           [this](incoming& call) { return router_.RunAtGate(call); });
+  }
+
+  ~state() { workers_.Stop(); }
+
+  base::status Start() {
+    for (const auto& listener : listeners_) {
+      const base::status started = listener->Start();
+      if (!started) return started;
+    }
+    workers_.Start();
+    return base::nothing{};
+  }
+
+  bool Finish(std::chrono::milliseconds limit) {
+    constexpr std::chrono::milliseconds kPoll{5};
+    router_.Finish();
+    for (const auto& listener : listeners_) listener->Finish();
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    while (Active() > 0 && std::chrono::steady_clock::now() < deadline) {
+      std::this_thread::sleep_for(kPoll);
+    }
+    const bool finished = Active() == 0;
+    workers_.Stop();
+    return finished;
+  }
+
+  bound_addresses Bound() const {
+    return {.outside = listeners_[0]->Address(),
+            .inside = listeners_[1]->Address(),
+            .gate = listeners_[2]->Address()};
+  }
+
+ private:
+  void Listen(const base::address& address, request_handler handler) {
+    listeners_.push_back(std::make_unique<http_listener>(
+        workers_, http_listener_options{.address = address,
+                                        .handler = std::move(handler)}));
+  }
+
+  int Active() const {
+    int active = 0;
+    for (const auto& listener : listeners_) active += listener->Active();
+    return active;
+  }
+
+  call_path_options options_;
+  worker_pool workers_;
+  router router_;
+  std::vector<std::unique_ptr<http_listener>> listeners_;
+};
+
+call_path::call_path(call_path_options options)
+    : state_(std::make_unique<state>(std::move(options))) {}
+call_path::~call_path() = default;
+
+base::status call_path::Start() { return state_->Start(); }
+
+bool call_path::Finish(std::chrono::milliseconds limit) {
+  return state_->Finish(limit);
+}
+
+bound_addresses call_path::Bound() const { return state_->Bound(); }
+
+}  // namespace fireflyspar::callers
--- a/src/callers/call_path.h
+++ b/src/callers/call_path.h
@@ -43,6 +43,14 @@
   std::function<void(const decisions::call_outcome&)> on_outcome;
 };
 
+// Where the listeners are bound: as in the options, with the port that the
+// system chose in place of 0.
+struct bound_addresses {
+  base::address outside;
+  base::address inside;
+  base::address gate;
+};
+
 class call_path {
  public:
   explicit call_path(call_path_options options);
@@ -58,6 +66,9 @@
   // everything finished.
   bool Finish(std::chrono::milliseconds limit);
 
+  // After Start.
+  bound_addresses Bound() const;
+
  private:
   class state;
   std::unique_ptr<state> state_;
--- /dev/null
+++ b/src/callers/dispatch.cc
@@ -0,0 +1,198 @@
+#include "callers/dispatch.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+#include "backend_servers/exchange.h"
+#include "backend_servers/headers.h"
+#include "decisions/routing.h"
+
+namespace fireflyspar::callers {
+namespace {
+
+using backend_servers::exchange_end;
+using backend_servers::exchange_result;
+using backend_servers::gate_answer;
+using backend_servers::RefusedByGate;
+using base::error_kind;
+using base::run_state;
+using decisions::candidate;
+using decisions::member_record;
+using std::chrono::milliseconds;
+
+constexpr unsigned kServerErrors = 5;
+
+double DefaultMovedShare(const decisions::move& move) {
+  return move.state == decisions::move_state::kDone ? 1.0 : 0.0;
+}
+
+gate_answer FromGateExchange(exchange_result&& ended) {
+  if (ended.end == exchange_end::kAnswered) {
+    return backend_servers::FromMessage(std::move(ended.answer));
+  }
+  gate_answer lost =
+      RefusedByGate(error_kind::kNoServer, std::move(ended.detail));
+  if (ended.sent) {
+    lost.refusal = error_kind::kServerFailed;
+    lost.run = run_state::kUnknown;
+  } else if (ended.end == exchange_end::kTimedOut) {
+    lost.refusal = error_kind::kDeadlinePassed;
+  }
+  if (ended.end == exchange_end::kCancelled) {
+    lost.refusal = error_kind::kCancelled;
+  }
+  return lost;
+}
+
+// A server that is full or leaving is no sign of a bad version or connection.
+bool IsFullOrLeaving(const gate_answer& answer) {
+  return answer.is_refusal && (answer.refusal == error_kind::kShed ||
+                               answer.refusal == error_kind::kDraining ||
+                               answer.refusal == error_kind::kDeadlinePassed);
+}
+
+bool IsFailed(const gate_answer& answer) {
+  if (answer.is_refusal) return answer.refusal == error_kind::kServerFailed;
+  return answer.answer.result_int() / 100 == kServerErrors;
+}
+
+decisions::call_ending EndingOf(const gate_answer& answer) {
+  using decisions::call_ending;
+  if (answer.is_refusal && answer.refusal == error_kind::kCancelled) {
+    return call_ending::kCancelled;
+  }
+  if (IsFullOrLeaving(answer)) return call_ending::kShed;
+  const bool failed = answer.is_refusal || IsFailed(answer);
+  return failed ? call_ending::kFailed : call_ending::kGood;
+}
+
+// A refusal that is certain not to have run may always be tried elsewhere; any
+// other end only for a call that may be repeated.
+bool IsSafeToRetry(const routed_call& call, const gate_answer& answer) {
+  if (!answer.is_refusal || answer.refusal == error_kind::kCancelled) {
+    return false;
+  }
+  if (answer.refusal == error_kind::kDeadlinePassed) return false;
+  return answer.IsNotRun() || !call.at_most_once;
+}
+
+}  // namespace
+
+dispatcher::choice dispatcher::ChooseServer(
+    const routed_call& call, const std::vector<std::string>& tried) {
+  const auto share = options_.moved_share ? options_.moved_share
+                                          : decisions::moved_share_hook(
+                                                DefaultMovedShare);
+  const decisions::fleet_view& view = *call.view;
+  choice target;
+  const double unit = base::Unit(options_.random());
+  target.version =
+      decisions::ChooseVersion(*call.service, view.moves, share, unit);
+  const std::vector<const member_record*> usable = decisions::UsableServers(
+      view.members, call.service->name, target.version);
+  std::vector<candidate> candidates;
+  candidates.reserve(usable.size());
+  std::ranges::transform(
+      usable, std::back_inserter(candidates), [&](const member_record* each) {
+        return candidate{.id = each->node_id,
+                         .is_near = each->data_centre == options_.data_centre,
+                         .slots = each->server.slots};
+      });
+  const auto chosen = traffic_.ChooseServer(candidates, tried);
+  if (chosen) target.member = usable[*chosen];
+  return target;
+}
+
+net::awaitable<gate_answer> dispatcher::Dispatch(routed_call& call) {
+  gate_answer answer =
+      RefusedByGate(error_kind::kNoServer, "no backend server is usable");
+  std::vector<std::string> tried;
+  traffic_.OnFirstTry(call.service->name);
+  const int most = call.may_retry
+                       ? std::max(1, call.service->retries.max_attempts)
+                       : 1;
+  for (int attempt = 0; attempt < most; ++attempt) {
+    const bool is_retry = attempt > 0;
+    if (is_retry && !IsSafeToRetry(call, answer)) break;
+    if (options_.clock() >= call.deadline) break;
+    if (is_retry && !traffic_.TryTakeRetry(*call.service)) break;
+    const choice target = ChooseServer(call, tried);
+    if (target.member == nullptr) break;
+    tried.push_back(target.member->node_id);
+    answer = co_await Try(call, target, attempt);
+  }
+  if (answer.is_refusal && call.at_most_once && !answer.IsNotRun() &&
+      answer.refusal != error_kind::kCancelled) {
+    answer.refusal = error_kind::kOutcomeUnknown;
+  }
+  co_return answer;
+}
+
+net::awaitable<gate_answer> dispatcher::Try(routed_call& call,
+                                            const choice& target,
+                                            int attempt) {
+  const base::instant begun = options_.clock();
+  call.request.set(backend_servers::kRequestIdHeader, call.request_id);
+  if (attempt > 0 || !call.may_retry) {
+    call.request.set(backend_servers::kAttemptHeader, "1");
+  }
+  gate_answer answer;
+  if (target.member->node_id == options_.node_id && options_.gate != nullptr) {
+    const backend_servers::local_call local{.service = call.service->name,
+                                            .version = target.version,
+                                            .deadline = call.deadline};
+    answer = co_await backend_servers::RunAtLocalServer(
+        *options_.gate, options_.clock, call.home->connections, local,
+        call.request, *call.cancel);
+  } else {
+    answer = co_await SendToGate(call, target);
+  }
+  Record(call, target, answer, options_.clock() - begun);
+  co_return answer;
+}
+
+net::awaitable<gate_answer> dispatcher::SendToGate(routed_call& call,
+                                                   const choice& target) {
+  const auto left = std::max(milliseconds(0),
+                             std::chrono::duration_cast<milliseconds>(
+                                 call.deadline - options_.clock()));
+  auto& request = call.request;
+  request.set(backend_servers::kServiceHeader, call.service->name);
+  request.set(backend_servers::kVersionHeader, target.version);
+  request.set(backend_servers::kDeadlineHeader, std::to_string(left.count()));
+  request.set(backend_servers::kExchangeHeader,
+              std::to_string(options_.random()));
+  backend_servers::exchange_options options{
+      .to = target.member->gate_address,
+      .deadline = std::chrono::steady_clock::now() + left,
+      .check_exchange_id = true};
+  options.may_send = [this, deadline = call.deadline] {
+    return options_.clock() < deadline;
+  };
+  exchange_result ended = co_await backend_servers::Exchange(
+      call.home->connections, options, request, *call.cancel);
+  gate_answer answer = FromGateExchange(std::move(ended));
+  co_return answer;
+}
+
+void dispatcher::Record(const routed_call& call, const choice& target,
+                        const gate_answer& answer, base::duration latency) {
+  const decisions::call_ending ending = EndingOf(answer);
+  const bool heard_gate = !answer.is_refusal || answer.busy > 0;
+  traffic_.OnEnd(target.member->node_id, ending, latency,
+                 heard_gate ? std::optional<int>(answer.busy) : std::nullopt);
+  // Refusals before dispatch and calls whose caller left tell nothing of the
+  // version.
+  const bool was_run = !answer.IsNotRun();
+  if (!was_run || ending == decisions::call_ending::kCancelled) return;
+  if (!options_.on_outcome) return;
+  options_.on_outcome({.service = call.service->name,
+                       .route = call.route,
+                       .version = target.version,
+                       .failed = IsFailed(answer),
+                       .latency = latency});
+}
+
+}  // namespace fireflyspar::callers
--- /dev/null
+++ b/src/callers/dispatch.h
@@ -0,0 +1,63 @@
+// Brings one routed call to a backend server: chooses the version and the
+// server, goes through the gate of the node beside it, and tries again
+// elsewhere where that is both safe and within the retry budget.
+#ifndef FIREFLYSPAR_CALLERS_DISPATCH_H_
+#define FIREFLYSPAR_CALLERS_DISPATCH_H_
+
+#include <string>
+#include <vector>
+
+#include "backend_servers/local_server.h"
+#include "callers/call_path.h"
+#include "callers/traffic.h"
+#include "callers/worker_pool.h"
+
+namespace fireflyspar::callers {
+
+// A call for which everything but the server is settled.
+struct routed_call {
+  decisions::fleet_view_ptr view;
+  const config::service* service = nullptr;  // In `view`.
+  std::string route;
+  bool at_most_once = false;
+  bool may_retry = true;  // False below a retry further up.
+  base::instant deadline;
+  std::string request_id;
+  backend_servers::http_request request;  // To be sent on, cleaned.
+  worker* home = nullptr;
+  std::shared_ptr<backend_servers::cancellation> cancel;
+};
+
+class dispatcher {
+ public:
+  dispatcher(const call_path_options& options, traffic& shared)
+      : options_(options), traffic_(shared) {}
+
+  // The answer of a backend server, or the refusal that stands in its place.
+  net::awaitable<backend_servers::gate_answer> Dispatch(routed_call& call);
+
+ private:
+  // A server of the version that the shares choose for this call.
+  struct choice {
+    const decisions::member_record* member = nullptr;
+    std::string version;
+  };
+
+  choice ChooseServer(const routed_call& call,
+                      const std::vector<std::string>& tried);
+  net::awaitable<backend_servers::gate_answer> Try(routed_call& call,
+                                                   const choice& target,
+                                                   int attempt);
+  net::awaitable<backend_servers::gate_answer> SendToGate(
+      routed_call& call, const choice& target);
+  void Record(const routed_call& call, const choice& target,
+              const backend_servers::gate_answer& answer,
+              base::duration latency);
+
+  const call_path_options& options_;
+  traffic& traffic_;
+};
+
+}  // namespace fireflyspar::callers
+
+#endif  // FIREFLYSPAR_CALLERS_DISPATCH_H_
--- /dev/null
+++ b/src/callers/http_listener.cc
@@ -0,0 +1,294 @@
+#include "callers/http_listener.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <optional>
+#include <utility>
+
+namespace fireflyspar::callers {
+namespace {
+
+using backend_servers::cancellation;
+using backend_servers::connection;
+using backend_servers::http_request;
+using backend_servers::http_response;
+using backend_servers::tcp;
+using base::error_kind;
+using boost::system::error_code;
+namespace http = backend_servers::http;
+
+using request_parser = http::request_parser<http::string_body>;
+
+// Adds one for as long as it lives.
+class scoped_count {
+ public:
+  explicit scoped_count(std::atomic<int>& counted) : counted_(counted) {
+    ++counted_;
+  }
+  ~scoped_count() { --counted_; }
+  scoped_count(const scoped_count&) = delete;
+  scoped_count& operator=(const scoped_count&) = delete;
+
+ private:
+  std::atomic<int>& counted_;
+};
+
+// Watches a caller's connection while its request is worked on. Bytes that come
+// meanwhile are the next request's and end the watch; an end of the connection
+// cancels the work.
+void WatchForClose(connection& client,
+                   const std::shared_ptr<cancellation>& cancel) {
+  auto& socket = client.stream.socket();
+  const int handle = socket.native_handle();
+  socket.async_wait(tcp::socket::wait_read,
+                    [cancel, handle](const error_code& error) {
+                      if (error) return;
+                      char byte = 0;
+                      const ssize_t got = ::recv(handle, &byte, 1,
+                                                 MSG_PEEK | MSG_DONTWAIT);
+                      if (got <= 0) cancel->Cancel();
+                    });
+}
+
+void StopWatching(connection& client) {
+  error_code ignored;
+  client.stream.socket().cancel(ignored);
+}
+
+// What to tell a caller whose request could not be read; nothing when there is
+// nobody to tell.
+std::optional<http_response> RefusalFor(const error_code& error) {
+  if (error == http::error::header_limit) {
+    http_response refusal = backend_servers::MakeRefusal(
+        error_kind::kTooLarge, "the request's headers are too large");
+    refusal.result(http::status::request_header_fields_too_large);
+    return refusal;
+  }
+  if (error == http::error::body_limit) {
+    return backend_servers::MakeRefusal(error_kind::kTooLarge,
+                                        "the request's body is too large");
+  }
+  const bool is_http_error =
+      error.category() == make_error_code(http::error::bad_method).category();
+  const bool is_end = error == http::error::end_of_stream ||
+                      error == http::error::partial_message;
+  if (!is_http_error || is_end) return std::nullopt;
+  return backend_servers::MakeRefusal(
+      error_kind::kBadRequest, "the request is malformed: " + error.message());
+}
+
+// What makes a well-formed request one that we don't take.
+std::optional<http_response> RefusalFor(const http_request& request) {
+  if (request.version() != 11 && request.version() != 10) {
+    return backend_servers::MakeRefusal(error_kind::kBadRequest,
+                                        "expected HTTP/1.1");
+  }
+  if (request.method() == http::verb::connect) {
+    return backend_servers::MakeRefusal(error_kind::kBadRequest,
+                                        "CONNECT is not served");
+  }
+  return std::nullopt;
+}
+
+// An answer to HEAD, or one with a status that has none, goes without a body.
+void TrimBody(const http_request& request, http_response& response) {
+  const unsigned status = response.result_int();
+  const bool never_has_body = status == 204 || status == 304;
+  if (never_has_body) {
+    response.body().clear();
+    response.erase(http::field::content_length);
+    return;
+  }
+  if (request.method() == http::verb::head) response.body().clear();
+}
+
+// Closes so that the last answer still arrives when unread bytes are left: ends
+// our side first, and takes in for a moment what the caller still sends.
+net::awaitable<void> CloseGently(connection& client) {
+  error_code error;
+  client.stream.socket().shutdown(tcp::socket::shutdown_send, error);
+  constexpr std::chrono::milliseconds kLinger{500};
+  constexpr std::size_t kMostTakenIn = 4 * 1024 * 1024;
+  client.stream.expires_after(kLinger);
+  std::array<char, 4096> taken{};
+  std::size_t total = 0;
+  auto token = net::redirect_error(net::use_awaitable, error);
+  while (!error && total < kMostTakenIn) {
+    const auto space = net::buffer(taken);
+    total += co_await client.stream.async_read_some(space, token);
+  }
+}
+
+net::awaitable<error_code> ReadRequest(connection& client,
+                                       const http_listener_options& options,
+                                       std::optional<request_parser>& parser) {
+  error_code error;
+  auto token = net::redirect_error(net::use_awaitable, error);
+  parser.emplace();
+  parser->header_limit(backend_servers::kMaxHeaderBytes);
+  parser->body_limit(backend_servers::kMaxRequestBytes);
+  if (client.buffer.size() == 0) {
+    // The long wait is only for the first byte; a request once begun has the
+    // shorter time, so that slow senders can't hold connections.
+    client.stream.expires_after(options.idle_timeout);
+    constexpr std::size_t kFirstRead = 4096;
+    const auto space = client.buffer.prepare(kFirstRead);
+    const std::size_t got =
+        co_await client.stream.async_read_some(space, token);
+    if (error) co_return error;
+    client.buffer.commit(got);
+  }
+  client.stream.expires_after(options.read_timeout);
+  co_await http::async_read_header(client.stream, client.buffer, *parser,
+                                   token);
+  if (error || parser->is_done()) co_return error;
+  if (http::token_list(parser->get()[http::field::expect])
+          .exists("100-continue")) {
+    http::response<http::empty_body> go_on(http::status::continue_, 11);
+    co_await http::async_write(client.stream, go_on, token);
+    if (error) co_return error;
+  }
+  co_await http::async_read(client.stream, client.buffer, *parser, token);
+  co_return error;
+}
+
+net::awaitable<error_code> WriteAnswer(connection& client,
+                                       const http_listener_options& options,
+                                       http_response& answer) {
+  error_code error;
+  auto token = net::redirect_error(net::use_awaitable, error);
+  client.stream.expires_after(options.write_timeout);
+  co_await http::async_write(client.stream, answer, token);
+  co_return error;
+}
+
+}  // namespace
+
+http_listener::http_listener(worker_pool& workers,
+                             http_listener_options options)
+    : workers_(workers), shared_(std::make_shared<shared_state>()) {
+  shared_->options = std::move(options);
+}
+
+http_listener::~http_listener() = default;
+
+base::status http_listener::Start() {
+  error_code error;
+  const base::address& wanted = shared_->options.address;
+  const tcp::endpoint endpoint = backend_servers::ToEndpoint(wanted);
+  acceptor_ = std::make_unique<tcp::acceptor>(workers_.At(0).loop);
+  const auto fails = [&error](auto&& step) {
+    step();
+    return static_cast<bool>(error);
+  };
+  const bool failed =
+      fails([&] { acceptor_->open(endpoint.protocol(), error); }) ||
+      fails([&] {
+        acceptor_->set_option(tcp::acceptor::reuse_address(true), error);
+      }) ||
+      fails([&] { acceptor_->bind(endpoint, error); }) ||
+      fails([&] {
+        acceptor_->listen(net::socket_base::max_listen_connections, error);
+      });
+  if (failed) {
+    return base::Fail(error_kind::kBadSettings, "can't listen on " +
+                                                    wanted.ToText() + ": " +
+                                                    error.message());
+  }
+  bound_ = backend_servers::ToAddress(acceptor_->local_endpoint(error));
+  net::co_spawn(workers_.At(0).loop, Accept(), net::detached);
+  return base::nothing{};
+}
+
+net::awaitable<void> http_listener::Accept() {
+  error_code error;
+  auto token = net::redirect_error(net::use_awaitable, error);
+  std::size_t next = 0;
+  while (!shared_->finishing) {
+    worker& home = workers_.At(next++ % workers_.Count());
+    tcp::socket socket(home.loop);
+    co_await acceptor_->async_accept(socket, token);
+    if (error == net::error::operation_aborted) co_return;
+    if (error) {
+      // Out of descriptors, mostly: wait for some to come back.
+      net::steady_timer pause(acceptor_->get_executor(),
+                              std::chrono::milliseconds(50));
+      co_await pause.async_wait(token);
+      continue;
+    }
+    if (shared_->connections >= shared_->options.max_connections) continue;
+    socket.set_option(tcp::no_delay(true), error);
+    auto client = std::make_unique<connection>(std::move(socket));
+    net::co_spawn(home.loop, Serve(shared_, home, std::move(client)),
+                  net::detached);
+  }
+}
+
+net::awaitable<void> http_listener::Serve(
+    std::shared_ptr<shared_state> shared, worker& home,
+    std::unique_ptr<connection> client) {
+  const scoped_count open(shared->connections);
+  const http_listener_options& options = shared->options;
+  error_code ignored;
+  const tcp::endpoint remote = client->stream.socket().remote_endpoint(ignored);
+  std::optional<request_parser> parser;
+  for (;;) {
+    const error_code error = co_await ReadRequest(*client, options, parser);
+    if (error) {
+      auto refusal = RefusalFor(error);
+      if (!refusal) co_return;
+      refusal->keep_alive(false);
+      co_await WriteAnswer(*client, options, *refusal);
+      co_await CloseGently(*client);
+      co_return;
+    }
+    const scoped_count busy(shared->active);
+    client->stream.expires_never();
+    incoming call{.request = parser->release(),
+                  .remote = remote,
+                  .home = &home,
+                  .cancel = std::make_shared<cancellation>()};
+    const unsigned version = call.request.version();
+    const bool may_stay = call.request.keep_alive();
+    const http::verb method = call.request.method();
+    http_response answer;
+    auto refusal = RefusalFor(call.request);
+    if (refusal) {
+      answer = std::move(*refusal);
+    } else {
+      WatchForClose(*client, call.cancel);
+      answer = co_await options.handler(call);
+      StopWatching(*client);
+    }
+    if (call.cancel->IsCancelled()) co_return;
+    call.request.method(method);
+    TrimBody(call.request, answer);
+    answer.version(version);
+    const bool stays = may_stay && !refusal && !shared->finishing;
+    answer.keep_alive(stays);
+    const error_code write_error =
+        co_await WriteAnswer(*client, options, answer);
+    if (write_error) co_return;
+    if (!stays) {
+      co_await CloseGently(*client);
+      co_return;
+    }
+  }
+}
+
+void http_listener::Finish() {
+  shared_->finishing = true;
+  if (!acceptor_) return;
+  net::post(acceptor_->get_executor(), [this] {
+    error_code ignored;
+    acceptor_->close(ignored);
+  });
+}
+
+}  // namespace fireflyspar::callers
--- /dev/null
+++ b/src/callers/traffic.cc
@@ -0,0 +1,61 @@
+#include "callers/traffic.h"
+
+namespace fireflyspar::callers {
+namespace {
+
+constexpr std::chrono::seconds kPruneInterval{60};
+
+}  // namespace
+
+std::optional<std::size_t> traffic::ChooseServer(
+    std::span<const decisions::candidate> candidates,
+    std::span<const std::string> avoided) {
+  const base::instant now = clock_();
+  const std::lock_guard lock(balancer_mutex_);
+  if (now - pruned_ > kPruneInterval) {
+    balancer_.Prune(now);
+    pruned_ = now;
+  }
+  const auto chosen = balancer_.Choose(candidates, avoided, random_, now);
+  if (chosen) balancer_.OnDispatch(candidates[*chosen].id, now);
+  return chosen;
+}
+
+void traffic::OnEnd(std::string_view node_id, decisions::call_ending ending,
+                    base::duration latency, std::optional<int> gate_busy) {
+  const base::instant now = clock_();
+  const std::lock_guard lock(balancer_mutex_);
+  balancer_.OnEnd(node_id, ending, latency, now);
+  if (gate_busy) balancer_.OnGateLoad(node_id, *gate_busy, now);
+}
+
+void traffic::OnFirstTry(const std::string& service) {
+  const std::lock_guard lock(limits_mutex_);
+  retries_[service].OnFirstTry(clock_());
+}
+
+bool traffic::TryTakeRetry(const config::service& service) {
+  const std::lock_guard lock(limits_mutex_);
+  return retries_[service.name].TryTake(service.retries.budget_percent,
+                                        clock_());
+}
+
+bool traffic::TryTakeCall(const config::service& service) {
+  if (service.max_calls_per_second <= 0) return true;
+  const std::lock_guard lock(limits_mutex_);
+  return rates_[service.name].TryTake(service.max_calls_per_second, clock_());
+}
+
+bool traffic::EnterCaller(const std::string& service, std::string_view caller,
+                          int most) {
+  const std::lock_guard lock(limits_mutex_);
+  return callers_[service].Enter(caller, most);
+}
+
+void traffic::LeaveCaller(const std::string& service,
+                          std::string_view caller) {
+  const std::lock_guard lock(limits_mutex_);
+  callers_[service].Leave(caller);
+}
+
+}  // namespace fireflyspar::callers
--- /dev/null
+++ b/src/callers/traffic.h
@@ -0,0 +1,59 @@
+// What the workers of a node's call path know together of the traffic: the
+// balancer, the retry budgets and the limits, each under a lock of its own.
+// None of the locks is ever held together with another.
+#ifndef FIREFLYSPAR_CALLERS_TRAFFIC_H_
+#define FIREFLYSPAR_CALLERS_TRAFFIC_H_
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/hooks.h"
+#include "config/preset.h"
+#include "decisions/balancer.h"
+#include "decisions/rate_limit.h"
+#include "decisions/retry_budget.h"
+
+namespace fireflyspar::callers {
+
+class traffic {
+ public:
+  traffic(base::clock_hook clock, base::random_hook random)
+      : clock_(std::move(clock)), random_(std::move(random)) {}
+
+  // The balancer (decisions/balancer.h). Choosing counts as a dispatch.
+  std::optional<std::size_t> ChooseServer(
+      std::span<const decisions::candidate> candidates,
+      std::span<const std::string> avoided);
+  void OnEnd(std::string_view node_id, decisions::call_ending ending,
+             base::duration latency, std::optional<int> gate_busy);
+
+  void OnFirstTry(const std::string& service);
+  bool TryTakeRetry(const config::service& service);
+
+  // Takes one call of the service's rate.
+  bool TryTakeCall(const config::service& service);
+
+  bool EnterCaller(const std::string& service, std::string_view caller,
+                   int most);
+  void LeaveCaller(const std::string& service, std::string_view caller);
+
+ private:
+  base::clock_hook clock_;
+  base::random_hook random_;
+
+  std::mutex balancer_mutex_;
+  decisions::balancer balancer_;
+  base::instant pruned_;
+
+  std::mutex limits_mutex_;
+  std::map<std::string, decisions::retry_budget> retries_;
+  std::map<std::string, decisions::rate_limit> rates_;
+  std::map<std::string, decisions::caller_limit> callers_;
+};
+
+}  // namespace fireflyspar::callers
+
+#endif  // FIREFLYSPAR_CALLERS_TRAFFIC_H_
--- /dev/null
+++ b/src/decisions/admission.cc
@@ -0,0 +1,140 @@
+#include "decisions/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fireflyspar::decisions {
+namespace {
+
+constexpr admission_verdict kRunNow{.step = admission_step::kRun};
+constexpr admission_verdict kWaitHere{.step = admission_step::kWait};
+
+admission_verdict Refuse(base::error_kind reason) {
+  return {.step = admission_step::kRefuse, .reason = reason};
+}
+
+// Smoothing of the time at the server: an answer weighs one eighth.
+constexpr int kSmoothing = 8;
+
+base::duration Smooth(base::duration typical, base::duration latest) {
+  if (typical.count() == 0) return latest;
+  return typical + (latest - typical) / kSmoothing;
+}
+
+}  // namespace
+
+admission::admission(admission_options options) : options_(options) {}
+
+void admission::SetServer(server_state state, int slots, base::instant now) {
+  const bool was_cold = state_ == server_state::kStarting;
+  const bool is_cold = state == server_state::kStarting;
+  if (is_cold && !was_cold) started_ = now;
+  const bool is_new = state_ == server_state::kAbsent || slots != slots_;
+  state_ = state;
+  slots_ = slots;
+  if (is_new) limit_ = slots;
+}
+
+void admission::Drain() { draining_ = true; }
+
+bool admission::IsOpen() const {
+  return !draining_ && (state_ == server_state::kServing ||
+                        state_ == server_state::kStarting);
+}
+
+base::error_kind admission::ClosedReason() const {
+  const bool leaving = draining_ || state_ == server_state::kDraining;
+  return leaving ? base::error_kind::kDraining : base::error_kind::kNoServer;
+}
+
+int admission::Limit(base::instant now) const {
+  double limit = limit_;
+  if (state_ == server_state::kStarting) {
+    const double warm = static_cast<double>((now - started_).count()) /
+                        static_cast<double>(options_.cold_start.count());
+    limit = std::min(limit, slots_ * std::clamp(warm, 0.0, 1.0));
+  }
+  return std::max(1, static_cast<int>(std::floor(limit)));
+}
+
+// With 6 running, a limit of 6 and 2 waiting, the next one waits for three of
+// the six to end: half of the typical time at the server.
+base::duration admission::ExpectedWait(base::instant now) const {
+  const auto ahead = static_cast<std::int64_t>(queue_.size()) + 1;
+  return typical_ * ahead / Limit(now);
+}
+
+admission_verdict admission::Enter(std::uint64_t ticket, base::instant deadline,
+                                   base::instant now) {
+  if (!IsOpen()) return Refuse(ClosedReason());
+  if (now >= deadline) return Refuse(base::error_kind::kDeadlinePassed);
+  if (in_flight_ < Limit(now) && queue_.empty()) {
+    ++in_flight_;
+    return kRunNow;
+  }
+  const auto longest = static_cast<std::size_t>(
+      std::ceil(options_.queued_per_slot * slots_));
+  if (queue_.size() >= longest) return Refuse(base::error_kind::kShed);
+  if (now + ExpectedWait(now) + typical_ > deadline) {
+    return Refuse(base::error_kind::kShed);
+  }
+  queue_.push_back({.ticket = ticket, .deadline = deadline});
+  return kWaitHere;
+}
+
+std::vector<admission_turn> admission::Leave(const admission_ending& ending,
+                                             base::instant now) {
+  --in_flight_;
+  if (ending.shed) {
+    // One cut for each typical time: the sheds of one burst are one sign.
+    if (now - last_shed_ > typical_) {
+      limit_ = std::max(1.0, std::min(limit_, in_flight_ + 1.0) *
+                                 options_.decrease);
+      last_shed_ = now;
+    }
+  } else {
+    typical_ = Smooth(typical_, ending.duration);
+    limit_ = std::min<double>(
+        slots_, limit_ + options_.increase / std::max(1.0, limit_));
+  }
+  return GiveTurns(now);
+}
+
+bool admission::Abandon(std::uint64_t ticket) {
+  return std::erase_if(queue_, [ticket](const waiter& each) {
+           return each.ticket == ticket;
+         }) > 0;
+}
+
+std::vector<admission_turn> admission::Tick(base::instant now) {
+  return GiveTurns(now);
+}
+
+std::vector<admission_turn> admission::GiveTurns(base::instant now) {
+  std::vector<admission_turn> turns;
+  const auto refuse_all = [&](base::error_kind reason) {
+    for (const waiter& each : queue_) {
+      turns.push_back({.ticket = each.ticket, .verdict = Refuse(reason)});
+    }
+    queue_.clear();
+  };
+  if (!IsOpen()) {
+    refuse_all(ClosedReason());
+    return turns;
+  }
+  std::erase_if(queue_, [&](const waiter& each) {
+    if (now < each.deadline) return false;
+    turns.push_back(
+        {.ticket = each.ticket,
+         .verdict = Refuse(base::error_kind::kDeadlinePassed)});
+    return true;
+  });
+  while (!queue_.empty() && in_flight_ < Limit(now)) {
+    ++in_flight_;
+    turns.push_back({.ticket = queue_.front().ticket, .verdict = kRunNow});
+    queue_.pop_front();
+  }
+  return turns;
+}
+
+}  // namespace fireflyspar::decisions
--- /dev/null
+++ b/src/decisions/balancer.cc
@@ -0,0 +1,161 @@
+#include "decisions/balancer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace fireflyspar::decisions {
+namespace {
+
+constexpr double kSmoothing = 0.125;
+
+// A call that finds a server's slots taken waits; beyond this many calls to a
+// slot, those in other data centres are worth their longer way.
+constexpr double kSpillBurden = 1.0;
+
+// How long a server that shed is thought to be full.
+constexpr base::duration kShedMemory = std::chrono::milliseconds(100);
+
+std::size_t Draw(const base::random_hook& random, std::size_t count) {
+  return static_cast<std::size_t>(random() % count);
+}
+
+}  // namespace
+
+balancer::balancer(balancer_options options) : options_(options) {}
+
+balancer::server& balancer::At(std::string_view id) {
+  const auto found = servers_.find(id);
+  if (found != servers_.end()) return found->second;
+  return servers_.emplace(std::string(id), server{}).first->second;
+}
+
+const balancer::server* balancer::Find(std::string_view id) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? nullptr : &found->second;
+}
+
+// Calls for each slot, of which a slow server's count for more: one that takes
+// twice as long clears its calls half as fast.
+double balancer::Burden(const candidate& which, base::instant now) const {
+  const server* known = Find(which.id);
+  if (known == nullptr) return 0;
+  const bool fresh = now - known->gate_told < options_.gate_word_life;
+  const int busy =
+      std::max(known->in_flight, fresh ? known->gate_busy : 0);
+  const double slots = std::max(1, which.slots);
+  const double full = now < known->shed_until ? 1 : 0;
+  return (busy + 1) / slots * std::max(known->latency, 1.0) + full * 1e12;
+}
+
+std::optional<std::size_t> balancer::Choose(
+    std::span<const candidate> candidates,
+    std::span<const std::string> avoided, const base::random_hook& random,
+    base::instant now) {
+  if (candidates.empty()) return std::nullopt;
+  const auto is_avoided = [&](std::size_t index) {
+    return std::ranges::find(avoided, candidates[index].id) != avoided.end();
+  };
+  const auto is_ejected = [&](std::size_t index) {
+    const server* known = Find(candidates[index].id);
+    return known != nullptr && now < known->ejected_until;
+  };
+  const auto has_room = [&](std::size_t index) {
+    const server* known = Find(candidates[index].id);
+    if (known == nullptr) return true;
+    const bool fresh = now - known->gate_told < options_.gate_word_life;
+    const int busy =
+        std::max(known->in_flight, fresh ? known->gate_busy : 0);
+    return now >= known->shed_until &&
+           busy < kSpillBurden * std::max(1, candidates[index].slots);
+  };
+
+  std::vector<std::size_t> all(candidates.size());
+  std::ranges::generate(all, [index = std::size_t{0}]() mutable {
+    return index++;
+  });
+  std::vector<std::size_t> pool;
+  std::ranges::remove_copy_if(all, std::back_inserter(pool), is_ejected);
+  const double kept = options_.least_kept * static_cast<double>(all.size());
+  if (static_cast<double>(pool.size()) < kept) pool = all;
+
+  std::vector<std::size_t> untried;
+  std::ranges::remove_copy_if(pool, std::back_inserter(untried), is_avoided);
+  if (untried.empty()) {
+    std::ranges::remove_copy_if(all, std::back_inserter(untried), is_avoided);
+  }
+  if (!untried.empty()) pool = std::move(untried);
+
+  std::vector<std::size_t> near;
+  std::ranges::copy_if(pool, std::back_inserter(near), [&](std::size_t index) {
+    return candidates[index].is_near && has_room(index);
+  });
+  if (!near.empty()) pool = std::move(near);
+
+  const std::size_t first = pool[Draw(random, pool.size())];
+  if (pool.size() == 1) return first;
+  std::size_t second = first;
+  while (second == first) second = pool[Draw(random, pool.size())];
+  return Burden(candidates[second], now) < Burden(candidates[first], now)
+             ? second
+             : first;
+}
+
+void balancer::OnDispatch(std::string_view id, base::instant now) {
+  server& used = At(id);
+  ++used.in_flight;
+  used.last_used = now;
+}
+
+void balancer::Eject(server& failing, base::instant now) const {
+  const auto longer = options_.first_ejection * (1 << failing.ejections_in_row);
+  failing.ejected_until = now + std::min<base::duration>(
+                                    longer, options_.longest_ejection);
+  constexpr int kMostDoublings = 10;
+  failing.ejections_in_row =
+      std::min(failing.ejections_in_row + 1, kMostDoublings);
+  failing.failures_in_row = 0;
+}
+
+void balancer::OnEnd(std::string_view id, call_ending ending,
+                     base::duration latency, base::instant now) {
+  server& used = At(id);
+  used.in_flight = std::max(0, used.in_flight - 1);
+  used.last_used = now;
+  switch (ending) {
+    case call_ending::kGood: {
+      const auto latest = static_cast<double>(latency.count());
+      used.latency += used.latency == 0
+                          ? latest
+                          : (latest - used.latency) * kSmoothing;
+      used.failures_in_row = 0;
+      used.ejections_in_row = 0;
+      break;
+    }
+    case call_ending::kFailed:
+      if (++used.failures_in_row >= options_.failures_to_eject) {
+        Eject(used, now);
+      }
+      break;
+    case call_ending::kShed:
+      used.shed_until = now + kShedMemory;
+      break;
+    case call_ending::kCancelled:
+      break;
+  }
+}
+
+void balancer::OnGateLoad(std::string_view id, int busy, base::instant now) {
+  server& told = At(id);
+  told.gate_busy = busy;
+  told.gate_told = now;
+}
+
+void balancer::Prune(base::instant now) {
+  std::erase_if(servers_, [&](const auto& entry) {
+    return entry.second.in_flight == 0 &&
+           now - entry.second.last_used > options_.memory;
+  });
+}
+
+}  // namespace fireflyspar::decisions
--- /dev/null
+++ b/src/decisions/retry_budget.cc
@@ -0,0 +1,51 @@
+#include "decisions/retry_budget.h"
+
+#include <chrono>
+
+namespace fireflyspar::decisions {
+namespace {
+
+// So that a service with few calls can be retried at all: at 3 calls a second
+// and 10% the window of 10 s earns 3 retries, and this adds one.
+constexpr std::int64_t kFreeRetriesPerWindow = 1;
+
+constexpr std::int64_t kHundred = 100;
+
+std::int64_t SecondOf(base::instant now) {
+  return std::chrono::floor<std::chrono::seconds>(now)
+      .time_since_epoch()
+      .count();
+}
+
+}  // namespace
+
+retry_budget::slice& retry_budget::SliceAt(base::instant now) {
+  const std::int64_t second = SecondOf(now);
+  slice& current = slices_[static_cast<std::size_t>(second) % kWindowSeconds];
+  if (current.second != second) current = {.second = second};
+  return current;
+}
+
+void retry_budget::OnFirstTry(base::instant now) {
+  ++SliceAt(now).first_tries;
+}
+
+bool retry_budget::TryTake(int percent, base::instant now) {
+  slice& current = SliceAt(now);
+  std::int64_t first_tries = 0;
+  std::int64_t retries = 0;
+  for (const slice& each : slices_) {
+    const bool in_window = current.second - each.second <
+                           static_cast<std::int64_t>(kWindowSeconds);
+    if (!in_window) continue;
+    first_tries += each.first_tries;
+    retries += each.retries;
+  }
+  const std::int64_t earned =
+      first_tries * percent / kHundred + kFreeRetriesPerWindow;
+  if (percent <= 0 || retries >= earned) return false;
+  ++current.retries;
+  return true;
+}
+
+}  // namespace fireflyspar::decisions
--- /dev/null
+++ b/tests/backend_servers/announcement_test.cc
@@ -0,0 +1,49 @@
+#include "backend_servers/announcement.h"
+
+#include <catch2/catch.hpp>
+
+namespace fireflyspar::backend_servers {
+namespace {
+
+TEST_CASE("an announcement survives its text form") {
+  const announcement said{
+      .server_address = {.ip = "10.0.0.5", .port = 9000},
+      .server = {.service = "stock",
+                 .version = "v2",
+                 .slots = 6,
+                 .state = decisions::server_state::kStarting}};
+  const auto heard = ParseAnnouncement(ToText(said));
+  REQUIRE(heard.Ok());
+  CHECK(heard->server_address == said.server_address);
+  CHECK(heard->server == said.server);
+}
+
+TEST_CASE("a wrong announcement is refused with the offending value") {
+  const struct {
+    const char* text;
+    const char* shown;
+  } rows[] = {
+      {"[]", "object"},
+      {"{", "object"},
+      {R"({"version":"v","address":"1.2.3.4:5","slots":1,"state":"serving"})",
+       "service"},
+      {R"({"service":"s","version":"v","address":"host:5","slots":1,
+          "state":"serving"})",
+       "host:5"},
+      {R"({"service":"s","version":"v","address":"1.2.3.4:5","slots":0,
+          "state":"serving"})",
+       "0"},
+      {R"({"service":"s","version":"v","address":"1.2.3.4:5","slots":1,
+          "state":"asleep"})",
+       "asleep"},
+  };
+  for (const auto& row : rows) {
+    INFO(row.text);
+    const auto heard = ParseAnnouncement(row.text);
+    REQUIRE_FALSE(heard.Ok());
+    CHECK(heard.Failure().detail.find(row.shown) != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace fireflyspar::backend_servers
