--- a/lab/commands.cc
+++ b/lab/commands.cc
@@ -2,6 +2,7 @@
 
 #include "lab/backend_server.h"
 #include "lab/load.h"
+#include "lab/platform_stand_in.h"
 
 namespace fireflyspar::lab {
 
@@ -13,6 +14,9 @@
       {.name = "load",
        .summary = "send calls at a steady rate",
        .run = RunLoadCommand},
+      {.name = "platform",
+       .summary = "a stand-in for the platform's object API",
+       .run = RunPlatform},
   };
 }
 
