--- /dev/null
+++ b/lab/experiments.cc
@@ -0,0 +1,20 @@
+#include "lab/experiments.h"
+
+#include "lab/move_experiment.h"
+
+namespace fireflyspar::lab {
+
+std::vector<app::command> Experiments() {
+  return {
+      {.name = "moves-decisions",
+       .summary = "good and bad versions judged in virtual time",
+       .run = RunMoveExperiment},
+  };
+}
+
+int RunExperiment(std::span<const std::string> arguments) {
+  return app::RunCommand("fireflyspar-lab experiment", Experiments(),
+                         arguments);
+}
+
+}  // namespace fireflyspar::lab
--- a/src/decisions/move_tracker.h
+++ b/src/decisions/move_tracker.h
@@ -94,9 +94,9 @@
     move_judge pooled;  // Judges by what was reported to this node.
     std::uint64_t sequence = 0;
     std::uint64_t reported_calls = 0;
-    base::instant reported_at{};
-    base::instant heard_at{};    // When a report last came in.
-    base::instant full_since{};  // Zero: not at the full share.
+    base::instant reported_at;
+    base::instant heard_at;    // When a report last came in.
+    base::instant full_since;  // Zero: not at the full share.
     bool is_ready = false;
   };
 
