--- a/lab/commands.cc
+++ b/lab/commands.cc
@@ -3,6 +3,7 @@
 #include "lab/backend_server.h"
 #include "lab/load.h"
 #include "lab/platform_stand_in.h"
+#include "lab/experiments.h"
 
 namespace fireflyspar::lab {
 
@@ -17,6 +18,9 @@
       {.name = "platform",
        .summary = "a stand-in for the platform's object API",
        .run = RunPlatform},
+      {.name = "experiment",
+       .summary = "run one experiment and print its figures as JSON",
+       .run = RunExperiment},
   };
 }
 
