--- /dev/null
+++ b/src/config/delta.cc
@@ -0,0 +1,194 @@
+#include "config/delta.h"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <span>
+
+#include "base/hash.h"
+#include "config/preset.h"
+
+namespace fireflyspar::config {
+namespace {
+
+using lines = std::vector<std::string_view>;
+
+// Canonical texts have a service or a route to a line.
+lines SplitLines(std::string_view text) {
+  lines split;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find('\n'), text.size() - 1) + 1;
+    split.push_back(text.substr(0, end));
+    text.remove_prefix(end);
+  }
+  return split;
+}
+
+// A line that stands in both texts, by its index in each.
+struct anchor {
+  std::size_t from = 0;
+  std::size_t to = 0;
+};
+
+// Lines that stand exactly once in either text, in the order of `from`.
+std::vector<anchor> UniquePairs(const lines& from, const lines& to) {
+  struct places {
+    int in_from = 0;
+    int in_to = 0;
+    std::size_t at_to = 0;
+  };
+  std::map<std::string_view, places> seen;
+  for (const std::string_view line : from) ++seen[line].in_from;
+  for (std::size_t i = 0; i < to.size(); ++i) {
+    places& place = seen[to[i]];
+    ++place.in_to;
+    place.at_to = i;
+  }
+  std::vector<anchor> pairs;
+  for (std::size_t i = 0; i < from.size(); ++i) {
+    const places& place = seen[from[i]];
+    if (place.in_from == 1 && place.in_to == 1) {
+      pairs.push_back({.from = i, .to = place.at_to});
+    }
+  }
+  return pairs;
+}
+
+// The longest run of pairs that grows in `to` as well (patience sorting): what
+// stays in place when lines were moved. Pairs at (0,2) (1,0) (2,1) give the
+// last two.
+std::vector<anchor> LongestGrowing(std::span<const anchor> pairs) {
+  constexpr std::size_t kNone = static_cast<std::size_t>(-1);
+  std::vector<std::size_t> ends;  // Of the best run of each length.
+  std::vector<std::size_t> before(pairs.size(), kNone);
+  for (std::size_t i = 0; i < pairs.size(); ++i) {
+    const auto place = std::ranges::lower_bound(
+        ends, pairs[i].to, {}, [&](std::size_t end) { return pairs[end].to; });
+    if (place != ends.begin()) before[i] = *std::prev(place);
+    if (place == ends.end()) {
+      ends.push_back(i);
+    } else {
+      *place = i;
+    }
+  }
+  std::vector<anchor> run;
+  for (std::size_t i = ends.empty() ? kNone : ends.back(); i != kNone;
+       i = before[i]) {
+    run.push_back(pairs[i]);
+  }
+  std::ranges::reverse(run);
+  return run;
+}
+
+// Collects edits from pairs of differing pieces.
+class edit_list {
+ public:
+  // Adds the edit from `from`, which stands at `offset` of the base, to `to`,
+  // without the bytes that both begin or end with.
+  void Add(std::size_t offset, std::string_view from, std::string_view to) {
+    const auto [from_at, to_at] = std::ranges::mismatch(from, to);
+    const auto common = static_cast<std::size_t>(from_at - from.begin());
+    from.remove_prefix(common);
+    to.remove_prefix(common);
+    std::size_t same = 0;
+    while (same < std::min(from.size(), to.size()) &&
+           from[from.size() - same - 1] == to[to.size() - same - 1]) {
+      ++same;
+    }
+    from.remove_suffix(same);
+    to.remove_suffix(same);
+    if (from.empty() && to.empty()) return;
+    edits_.push_back({.offset = static_cast<std::uint32_t>(offset + common),
+                      .removed = static_cast<std::uint32_t>(from.size()),
+                      .added = std::string(to)});
+  }
+
+  std::vector<edit> Take() { return std::move(edits_); }
+
+ private:
+  std::vector<edit> edits_;
+};
+
+std::string_view Join(std::span<const std::string_view> pieces) {
+  if (pieces.empty()) return {};
+  const char* begin = pieces.front().data();
+  const char* end = pieces.back().data() + pieces.back().size();
+  return {begin, static_cast<std::size_t>(end - begin)};
+}
+
+// Adds the edits between two anchors. As many lines on both sides are most
+// likely the same entries changed, each by a little.
+void AddGap(std::size_t offset, std::span<const std::string_view> from,
+            std::span<const std::string_view> to, edit_list& out) {
+  if (from.size() != to.size()) {
+    out.Add(offset, Join(from), Join(to));
+    return;
+  }
+  for (std::size_t i = 0; i < from.size(); ++i) {
+    out.Add(offset, from[i], to[i]);
+    offset += from[i].size();
+  }
+}
+
+}  // namespace
+
+delta MakeDelta(std::string_view from, std::string_view to) {
+  const lines old_lines = SplitLines(from);
+  const lines new_lines = SplitLines(to);
+  std::vector<anchor> anchors =
+      LongestGrowing(UniquePairs(old_lines, new_lines));
+  anchors.push_back({.from = old_lines.size(), .to = new_lines.size()});
+
+  edit_list edits;
+  std::size_t offset = 0;
+  anchor start;
+  for (const anchor& stop : anchors) {
+    const auto old_gap =
+        std::span(old_lines).subspan(start.from, stop.from - start.from);
+    const auto new_gap =
+        std::span(new_lines).subspan(start.to, stop.to - start.to);
+    AddGap(offset, old_gap, new_gap, edits);
+    offset += Join(old_gap).size();
+    if (stop.from < old_lines.size()) offset += old_lines[stop.from].size();
+    start = {.from = stop.from + 1, .to = stop.to + 1};
+  }
+  return {.base_hash = base::ContentHash(from),
+          .result_hash = base::ContentHash(to),
+          .edits = edits.Take()};
+}
+
+base::result<std::string> ApplyDelta(std::string_view from,
+                                     const delta& change) {
+  const auto malformed = [](std::string detail) {
+    return base::Fail(base::error_kind::kMalformedMessage, std::move(detail));
+  };
+  if (base::ContentHash(from) != change.base_hash) {
+    return malformed("the delta starts from " + change.base_hash +
+                     ", which is not what is here");
+  }
+  std::string made;
+  std::size_t done = 0;  // Bytes of `from` that are copied or removed.
+  for (const edit& each : change.edits) {
+    const std::size_t offset = each.offset;
+    const bool in_bounds = offset >= done && offset <= from.size() &&
+                           each.removed <= from.size() - offset;
+    if (!in_bounds) {
+      return malformed("an edit at " + std::to_string(offset) + " of " +
+                       std::to_string(each.removed) + " bytes is out of place");
+    }
+    made += from.substr(done, offset - done);
+    made += each.added;
+    done = offset + each.removed;
+    if (made.size() > kMaxPresetBytes) {
+      return malformed("the delta makes more than " +
+                       std::to_string(kMaxPresetBytes) + " bytes");
+    }
+  }
+  made += from.substr(done);
+  if (base::ContentHash(made) != change.result_hash) {
+    return malformed("the delta does not make " + change.result_hash);
+  }
+  return made;
+}
+
+}  // namespace fireflyspar::config
--- a/src/platform/records.cc
+++ b/src/platform/records.cc
@@ -12,7 +12,7 @@
 using nlohmann::json;
 using nlohmann::ordered_json;
 
-constexpr std::size_t kMaxRecordBytes = 64 * 1024;
+constexpr std::size_t kMaxRecordBytes = 65'536;
 
 constexpr std::string_view kRunningText = "running";
 constexpr std::string_view kTakenBackText = "taken_back";
--- a/tests/operators/preset_commands_test.cc
+++ b/tests/operators/preset_commands_test.cc
@@ -32,7 +32,8 @@
   const auto current = ReadInForce(alice);
   REQUIRE(current);
   CHECK(*current == *again);
-  const auto snapshot = store.objects.find("snapshots/" + again->id.hash);
+  const auto snapshot = store.objects.find(
+      std::string(platform::kSnapshotPrefix) + again->id.hash);
   REQUIRE(snapshot != store.objects.end());
   CHECK(snapshot->second.value == ToText(SmallPreset("ordinary")));
 }
@@ -53,7 +54,7 @@
   REQUIRE(PutPreset(alice, SmallPreset("peak")));
   bool bob_acted = false;
   store.fault_of = [&](call_kind call, std::string_view key) {
-    if (call == call_kind::kPut && key == "in_force" && !bob_acted) {
+    if (call == call_kind::kPut && key == platform::kInForceKey && !bob_acted) {
       bob_acted = true;
       REQUIRE(UsePreset(bob, "peak"));
     }
