Thin: nodes find each other, spread configurations and moves

Nodes talk Cap'n Proto RPC over TCP on one thread of their own. The decisions (who lives, what to tell whom, which version to take) are pure and lie in src/decisions/: membership, dissemination, configuration_store, record_index. Whole configurations only: the delta functions are still to come.

--- /dev/null
+++ b/src/decisions/dissemination.cc
@@ -0,0 +1,307 @@
+#include "decisions/dissemination.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "decisions/rendezvous.h"
+
+namespace fireflyspar::decisions {
+namespace {
+
+// Nodes of a data centre that talk to the other data centres.
+constexpr std::size_t kBridges = 3;
+constexpr std::size_t kAlternatives = 3;
+
+// The first `count` of the values after a partial shuffle.
+template <typename T>
+std::vector<T> Pick(std::vector<T> values, std::size_t count,
+                    const base::random_hook& random) {
+  count = std::min(count, values.size());
+  for (std::size_t done = 0; done < count; ++done) {
+    std::swap(values[done], values[done + random() % (values.size() - done)]);
+  }
+  values.resize(count);
+  return values;
+}
+
+}  // namespace
+
+dissemination::dissemination(dissemination_options options, membership& members,
+                             configuration_store& configuration)
+    : options_(std::move(options)),
+      members_(members),
+      configuration_(configuration),
+      full_syncs_(options_.full_syncs) {}
+
+void dissemination::Follow(base::instant now) {
+  AgeForgotten(now);
+  const std::vector<std::string> changed = members_.TakeChanged();
+  if (changed.empty()) return;
+  changed_ = true;
+  is_bridge_.reset();
+  // What came in bulk, as on joining, is known to others already.
+  const bool bulk = changed.size() > options_.records_per_push;
+  for (const std::string& node_id : changed) {
+    IndexMember(node_id);
+    const std::uint64_t key = MemberKey(node_id);
+    if (index_.Find(key) == nullptr) continue;
+    if (!bulk || node_id == members_.Self().node_id) Spread(key);
+  }
+}
+
+bool dissemination::TakeChanged() { return std::exchange(changed_, false); }
+
+void dissemination::IndexMember(const std::string& node_id) {
+  const held_member* held = members_.Find(node_id);
+  if (held == nullptr || held->quiet) {
+    index_.Erase(MemberKey(node_id));
+    return;
+  }
+  index_.Set({.version = VersionOf(held->record), .id = node_id});
+}
+
+void dissemination::IndexMove(const std::string& move_id) {
+  const auto forgotten = forgotten_.find(move_id);
+  if (forgotten != forgotten_.end()) {
+    index_.Erase(MoveKey(move_id));
+    if (forgotten->second.quiet) return;
+    index_.Set(
+        {.version = ForgottenVersion(move_id), .id = move_id, .is_move = true});
+    return;
+  }
+  index_.Set({.version = VersionOf(moves_.at(move_id)),
+              .id = move_id,
+              .is_move = true});
+}
+
+void dissemination::Spread(std::uint64_t key) { news_[key] = options_.rounds; }
+
+bool dissemination::Offer(const move& news, base::instant) {
+  if (forgotten_.contains(news.id)) return false;
+  const auto [held, added] = moves_.try_emplace(news.id, news);
+  if (!added) {
+    move merged = Merge(held->second, news);
+    if (merged == held->second) return false;
+    held->second = std::move(merged);
+  }
+  IndexMove(news.id);
+  Spread(MoveKey(news.id));
+  changed_ = true;
+  return true;
+}
+
+void dissemination::Forget(const std::string& move_id, base::instant now) {
+  if (!forgotten_.try_emplace(move_id, forgotten_move{.since = now}).second) {
+    return;
+  }
+  moves_.erase(move_id);
+  IndexMove(move_id);
+  Spread(MoveKey(move_id));
+  changed_ = true;
+}
+
+void dissemination::AgeForgotten(base::instant now) {
+  for (auto& [id, forgotten] : forgotten_) {
+    if (forgotten.quiet ||
+        now - forgotten.since < options_.tell_forgotten_for) {
+      continue;
+    }
+    forgotten.quiet = true;
+    IndexMove(id);
+  }
+  std::erase_if(forgotten_, [&](const auto& entry) {
+    return now - entry.second.since > options_.keep_forgotten_for;
+  });
+}
+
+void dissemination::ConfigurationChanged() {
+  configuration_rounds_ = options_.rounds;
+}
+
+bool dissemination::HasNews() const {
+  return configuration_rounds_ > 0 || !news_.empty();
+}
+
+gossip dissemination::Header() const {
+  return {.sender = members_.Self().node_id,
+          .sender_address = members_.Self().rpc_address,
+          .configuration = configuration_.Version()};
+}
+
+gossip dissemination::MakePush() {
+  gossip message = Header();
+  if (configuration_rounds_ > 0) --configuration_rounds_;
+  std::vector<std::uint64_t> told;
+  for (auto& [key, rounds] : news_) {
+    if (told.size() == options_.records_per_push) break;
+    Add(key, message);
+    --rounds;
+    told.push_back(key);
+  }
+  for (const std::uint64_t key : told) {
+    if (news_.at(key) <= 0) news_.erase(key);
+  }
+  return message;
+}
+
+gossip dissemination::MakeExchange() {
+  gossip message = Header();
+  message.root_hash = RootHash();
+  return message;
+}
+
+void dissemination::Add(std::uint64_t key, gossip& message) const {
+  const record_index::entry* entry = index_.Find(key);
+  if (entry == nullptr) return;
+  if (!entry->is_move) {
+    message.members.push_back(members_.Find(entry->id)->record);
+  } else if (forgotten_.contains(entry->id)) {
+    message.forgotten_moves.push_back(entry->id);
+  } else {
+    message.moves.push_back(moves_.at(entry->id));
+  }
+}
+
+void dissemination::MergeRecords(const gossip& message, base::instant now) {
+  for (const member_record& record : message.members) {
+    members_.Merge(record, now);
+  }
+  for (const std::string& id : message.forgotten_moves) Forget(id, now);
+  for (const move& value : message.moves) Offer(value, now);
+  Follow(now);
+}
+
+gossip dissemination::Answer(const gossip& message, base::instant now) {
+  MergeRecords(message, now);
+  gossip answer = Header();
+  AnswerListing(message, answer, now);
+  for (const std::uint64_t key : message.wanted) Add(key, answer);
+  if (message.root_hash != 0 && message.root_hash != RootHash()) {
+    const auto hashes = index_.BucketHashes();
+    answer.bucket_hashes.assign(hashes.begin(), hashes.end());
+  }
+  // Whoever sent an older copy than is held here gets the later one; this is
+  // also how a record that is no longer told by itself keeps old copies out.
+  for (const member_record& record : message.members) {
+    const held_member* held = members_.Find(record.node_id);
+    if (held != nullptr && Supersedes(held->record, record)) {
+      answer.members.push_back(held->record);
+    }
+  }
+  for (const move& value : message.moves) {
+    if (forgotten_.contains(value.id)) {
+      answer.forgotten_moves.push_back(value.id);
+    }
+  }
+  // The sender lives; should it be taken for dead here, it is told so that it
+  // can refute.
+  const held_member* sender = members_.Find(message.sender);
+  if (sender != nullptr && sender->record.state != node_state::kAlive) {
+    answer.members.push_back(sender->record);
+  }
+  return answer;
+}
+
+void dissemination::AnswerListing(const gossip& message, gossip& answer,
+                                  base::instant now) {
+  std::unordered_map<std::uint64_t, const record_version*> theirs;
+  for (const record_version& version : message.versions) {
+    theirs[version.key] = &version;
+    if (index_.Find(version.key) == nullptr) {
+      answer.wanted.push_back(version.key);
+    }
+  }
+  std::vector<std::uint64_t> given;
+  for (const std::uint32_t bucket : message.listed_buckets) {
+    for (const record_index::entry* entry : index_.InBucket(bucket)) {
+      const record_version& mine = entry->version;
+      const auto found = theirs.find(mine.key);
+      if (found == theirs.end()) {
+        given.push_back(mine.key);
+        continue;
+      }
+      const record_version& other = *found->second;
+      if (mine == other) continue;
+      // Moves have no order of versions: both sides merge both copies.
+      const bool later =
+          std::tie(mine.major, mine.minor) > std::tie(other.major, other.minor);
+      if (entry->is_move || later) given.push_back(mine.key);
+      if (entry->is_move || !later) answer.wanted.push_back(mine.key);
+    }
+  }
+  if (!GiveFullSync(given.size(), answer, now)) return;
+  for (const std::uint64_t key : given) Add(key, answer);
+}
+
+bool dissemination::GiveFullSync(std::size_t records, gossip& answer,
+                                 base::instant now) {
+  if (records <= options_.full_sync_records) return true;
+  if (full_syncs_.Admit(now)) return true;
+  answer.try_instead = Alternatives();
+  return false;
+}
+
+std::vector<base::address> dissemination::Alternatives() const {
+  const auto peers = Pick(members_.LivingPeers(members_.Self().data_centre),
+                          kAlternatives, options_.random);
+  std::vector<base::address> addresses;
+  addresses.reserve(peers.size());
+  for (const member_record* peer : peers) {
+    addresses.push_back(peer->rpc_address);
+  }
+  return addresses;
+}
+
+std::optional<gossip> dissemination::Continue(const gossip& answer,
+                                              base::instant now) {
+  MergeRecords(answer, now);
+  gossip next = Header();
+  for (const std::uint64_t key : answer.wanted) Add(key, next);
+  next.listed_buckets = index_.Differing(answer.bucket_hashes);
+  for (const std::uint32_t bucket : next.listed_buckets) {
+    for (const record_index::entry* entry : index_.InBucket(bucket)) {
+      next.versions.push_back(entry->version);
+    }
+  }
+  const bool nothing_left = next.listed_buckets.empty() &&
+                            next.members.empty() && next.moves.empty() &&
+                            next.forgotten_moves.empty();
+  if (nothing_left) return std::nullopt;
+  return next;
+}
+
+bool dissemination::IsBridge() {
+  if (!is_bridge_) {
+    std::vector<std::string> ids{members_.Self().node_id};
+    for (const member_record* peer :
+         members_.LivingPeers(members_.Self().data_centre)) {
+      ids.push_back(peer->node_id);
+    }
+    const auto bridges = ChooseByRendezvous("bridge", ids, kBridges);
+    is_bridge_ =
+        std::ranges::find(bridges, members_.Self().node_id) != bridges.end();
+  }
+  return *is_bridge_;
+}
+
+std::vector<member_record> dissemination::PushTargets() {
+  std::vector<member_record> targets = BridgeTargets();
+  const auto peers = Pick(members_.LivingPeers(members_.Self().data_centre),
+                          options_.fan_out, options_.random);
+  for (const member_record* peer : peers) targets.push_back(*peer);
+  return targets;
+}
+
+std::vector<member_record> dissemination::BridgeTargets() {
+  std::vector<member_record> targets;
+  if (!IsBridge()) return targets;
+  for (const std::string& data_centre : members_.OtherDataCentres()) {
+    const auto chosen =
+        Pick(members_.LivingPeers(data_centre), 1, options_.random);
+    for (const member_record* peer : chosen) targets.push_back(*peer);
+  }
+  return targets;
+}
+
+}  // namespace fireflyspar::decisions
--- /dev/null
+++ b/src/decisions/record_index.h
@@ -0,0 +1,65 @@
+// Which copies of records a node holds, in a form that two nodes can compare
+// with few bytes: records fall into buckets by their key, each bucket has one
+// hash that a change updates in constant time, and one hash covers all buckets.
+#ifndef FIREFLYSPAR_DECISIONS_RECORD_INDEX_H_
+#define FIREFLYSPAR_DECISIONS_RECORD_INDEX_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "decisions/gossip.h"
+
+namespace fireflyspar::decisions {
+
+inline constexpr std::size_t kBuckets = 64;
+
+// Keys of records, the same on every node.
+std::uint64_t MemberKey(std::string_view node_id);
+std::uint64_t MoveKey(std::string_view move_id);
+
+record_version VersionOf(const member_record& record);
+record_version VersionOf(const move& value);
+record_version ForgottenVersion(std::string_view move_id);
+
+class record_index {
+ public:
+  // What a key stands for.
+  struct entry {
+    record_version version;
+    std::string id;  // Node id or move id.
+    bool is_move = false;
+  };
+
+  // Puts the record in, in place of an earlier copy.
+  void Set(entry value);
+  void Erase(std::uint64_t key);
+  const entry* Find(std::uint64_t key) const;
+
+  // Never zero.
+  std::uint64_t RootHash() const;
+  std::span<const std::uint64_t, kBuckets> BucketHashes() const {
+    return hashes_;
+  }
+
+  // Indices of buckets whose hash is not the given one; none unless all are
+  // given.
+  std::vector<std::uint32_t> Differing(
+      std::span<const std::uint64_t> hashes) const;
+
+  // The entries of one bucket.
+  std::vector<const entry*> InBucket(std::uint32_t bucket) const;
+
+ private:
+  std::array<std::uint64_t, kBuckets> hashes_{};
+  std::array<std::unordered_map<std::uint64_t, entry>, kBuckets> buckets_;
+};
+
+}  // namespace fireflyspar::decisions
+
+#endif  // FIREFLYSPAR_DECISIONS_RECORD_INDEX_H_
--- a/src/nodes/mesh.h
+++ b/src/nodes/mesh.h
@@ -5,6 +5,7 @@
 #ifndef FIREFLYSPAR_NODES_MESH_H_
 #define FIREFLYSPAR_NODES_MESH_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -20,6 +21,12 @@
 
 namespace fireflyspar::nodes {
 
+// The job (mesh::HasJob) of judging a move; the first kJudges nodes have it.
+std::string JudgeJob(const std::string& move_id);
+inline constexpr std::size_t kJudges = 2;
+
+inline constexpr int kMostPeersHeard = 64;
+
 struct mesh_options {
   std::string node_id;
   std::string data_centre;
@@ -78,6 +85,15 @@
   // What is known now; never null.
   decisions::fleet_view_ptr View() const;
 
+  // The address listened on, with the port that was given for port 0. Good once
+  // Start() has succeeded.
+  base::address RpcAddress() const;
+
+  // How many different nodes have answered this one since its start, up to
+  // kMostPeersHeard. A fresh node that has heard several knows the greatest
+  // version that any of them held.
+  int PeersHeard() const;
+
   // True when this node is among the first `count` of its data centre's living
   // nodes for the job (decisions/rendezvous.h).
   bool HasJob(const std::string& job, std::size_t count) const;
--- /dev/null
+++ b/src/nodes/socket_address.h
@@ -0,0 +1,17 @@
+// From a numeric address to the event loop's form, without a name lookup.
+#ifndef FIREFLYSPAR_NODES_SOCKET_ADDRESS_H_
+#define FIREFLYSPAR_NODES_SOCKET_ADDRESS_H_
+
+#include <kj/async-io.h>
+
+#include "base/address.h"
+
+namespace fireflyspar::nodes {
+
+// Throws a kj::Exception when the address is not numeric.
+kj::Own<kj::NetworkAddress> ToNetworkAddress(kj::Network& network,
+                                             const base::address& address);
+
+}  // namespace fireflyspar::nodes
+
+#endif  // FIREFLYSPAR_NODES_SOCKET_ADDRESS_H_
--- /dev/null
+++ b/src/nodes/traffic.h
@@ -0,0 +1,34 @@
+// Counters of control traffic between nodes: payload bytes and messages by kind
+// and direction, and all bytes on the wire, the RPC library's framing included.
+#ifndef FIREFLYSPAR_NODES_TRAFFIC_H_
+#define FIREFLYSPAR_NODES_TRAFFIC_H_
+
+#include <cstdint>
+#include <string_view>
+
+#include "base/metrics.h"
+#include "nodes/counted_stream.h"
+
+namespace fireflyspar::nodes {
+
+enum class direction { kSent, kReceived };
+
+class traffic {
+ public:
+  explicit traffic(base::metrics& metrics) : metrics_(metrics) {}
+
+  // Counts one message of so many eight-byte words.
+  void Count(std::string_view kind, direction way, std::uint64_t words);
+
+  // Counts an event that closed or refused a connection or request.
+  void CountFault(std::string_view reason);
+
+  wire_counters Wire();
+
+ private:
+  base::metrics& metrics_;
+};
+
+}  // namespace fireflyspar::nodes
+
+#endif  // FIREFLYSPAR_NODES_TRAFFIC_H_
--- /dev/null
+++ b/tests/nodes/mesh_test.cc
@@ -0,0 +1,51 @@
+#include "nodes/mesh.h"
+
+#include <catch2/catch.hpp>
+
+#include "fleet.h"
+
+namespace fireflyspar::nodes {
+namespace {
+
+const std::vector<std::string> kDataCentres{"fukuoka", "kumamoto", "kagoshima"};
+
+// "fukuoka-0", "kumamoto-1", ... until there are `count` nodes.
+void AddNodes(fleet& nodes, int count) {
+  for (int i = 0; i < count; ++i) {
+    const std::string& data_centre =
+        kDataCentres[static_cast<std::size_t>(i) % kDataCentres.size()];
+    nodes.Add(data_centre + "-" + std::to_string(i), data_centre);
+  }
+}
+
+TEST_CASE("nodes find each other through one seed") {
+  fleet nodes;
+  AddNodes(nodes, 9);
+  CHECK(Eventually([&] { return nodes.Agree(); }));
+  CHECK(nodes.At("kumamoto-4").running->PeersHeard() > 0);
+}
+
+TEST_CASE("a configuration offered at one node comes in force at all") {
+  fleet nodes;
+  AddNodes(nodes, 9);
+  REQUIRE(Eventually([&] { return nodes.Agree(); }));
+  nodes.At("kagoshima-5").running->Offer(Configuration(1));
+  CHECK(Eventually([&] { return nodes.AllHold(1); }));
+  nodes.At("fukuoka-3").running->Offer(Configuration(3));
+  CHECK(Eventually([&] { return nodes.AllHold(3); }));
+  nodes.At("fukuoka-3").running->Offer(Configuration(2));
+  nodes.At("fukuoka-3").running->Offer(Configuration(4));
+  CHECK(Eventually([&] { return nodes.AllHold(4); }));
+}
+
+TEST_CASE("a fresh node gets the configuration from its peers") {
+  fleet nodes;
+  AddNodes(nodes, 3);
+  nodes.At("fukuoka-0").running->Offer(Configuration(7));
+  REQUIRE(Eventually([&] { return nodes.AllHold(7); }));
+  nodes.Add("fukuoka-new", "fukuoka");
+  CHECK(Eventually([&] { return nodes.AllHold(7) && nodes.Agree(); }));
+}
+
+}  // namespace
+}  // namespace fireflyspar::nodes
