--- a/lab/commands.cc
+++ b/lab/commands.cc
@@ -1,7 +1,27 @@
 #include "lab/commands.h"
 
+#include "lab/backend_server.h"
+#include "lab/load.h"
+#include "lab/platform_stand_in.h"
+#include "lab/experiments.h"
+
 namespace fireflyspar::lab {
 
-std::vector<app::command> Commands() { return {}; }
+std::vector<app::command> Commands() {
+  return {
+      {.name = "backend-server",
+       .summary = "run a stand-in backend server",
+       .run = RunBackendServer},
+      {.name = "load",
+       .summary = "send calls at a steady rate",
+       .run = RunLoadCommand},
+      {.name = "platform",
+       .summary = "a stand-in for the platform's object API",
+       .run = RunPlatform},
+      {.name = "experiment",
+       .summary = "run one experiment and print its figures as JSON",
+       .run = RunExperiment},
+  };
+}
 
 }  // namespace fireflyspar::lab
