--- a/lab/commands.cc
+++ b/lab/commands.cc
@@ -1,9 +1,10 @@
 #include "lab/commands.h"
 
 #include "lab/backend_server.h"
+#include "lab/demo.h"
+#include "lab/experiments.h"
 #include "lab/load.h"
 #include "lab/platform_stand_in.h"
-#include "lab/experiments.h"
 
 namespace fireflyspar::lab {
 
@@ -12,6 +13,9 @@
       {.name = "backend-server",
        .summary = "run a stand-in backend server",
        .run = RunBackendServer},
+      {.name = "demo",
+       .summary = "show the whole path on a small deployment",
+       .run = RunDemo},
       {.name = "load",
        .summary = "send calls at a steady rate",
        .run = RunLoadCommand},
--- a/src/app/commands.cc
+++ b/src/app/commands.cc
@@ -2,6 +2,8 @@
 
 #include <iostream>
 
+#include "app/node.h"
+
 namespace fireflyspar::app {
 namespace {
 
@@ -16,6 +18,9 @@
 
 std::vector<command> Commands() {
   return {
+      {.name = "node",
+       .summary = "run the node beside a backend server",
+       .run = RunNode},
       {.name = "version", .summary = "print the version", .run = PrintVersion},
   };
 }
--- /dev/null
+++ b/src/app/node.cc
@@ -0,0 +1,314 @@
+#include "app/node.h"
+
+#include <atomic>
+#include <csignal>
+#include <iostream>
+#include <thread>
+#include <utility>
+
+#include "app/cut_list.h"
+#include "app/move_control.h"
+#include "app/node_settings.h"
+#include "app/node_status.h"
+#include "app/platform_jobs.h"
+#include "backend_servers/announcement.h"
+#include "backend_servers/gate.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "callers/call_path.h"
+#include "nodes/mesh.h"
+#include "operators/endpoint.h"
+
+namespace fireflyspar::app {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTickPeriod{250};
+
+// Once so many others have answered, the greatest version among them is almost
+// surely the one in force.
+constexpr int kPeersToHear = 3;
+
+}  // namespace
+
+class node::state {
+ public:
+  explicit state(node_options options);
+  base::status Start();
+  bool Finish();
+
+ private:
+  nodes::mesh_options MeshOptions();
+  callers::call_path_options CallPathOptions();
+  platform_jobs_options PlatformOptions();
+  operators::endpoint_options EndpointOptions();
+  move_control_options MoveControlOptions();
+
+  operators::endpoint_answer Announce(const std::string& body);
+  void OnView(const decisions::fleet_view_ptr& view);
+  void RunTicks(const std::stop_token& stop);
+  bool Join();
+
+  node_options options_;
+  base::clock_hook clock_ = base::SystemClock();
+  base::random_hook random_ = base::SystemRandom();
+  base::metrics metrics_;
+  cut_list cuts_;
+  std::atomic<bool> draining_ = false;
+
+  move_control moves_;
+  backend_servers::gate gate_;
+  nodes::mesh mesh_;
+  callers::call_path call_path_;
+  platform_jobs platform_;
+  operators::endpoint endpoint_;
+  std::jthread ticker_;
+  std::uint64_t configuration_version_ = 0;  // Of the mesh's thread.
+};
+
+node::state::state(node_options options)
+    : options_(std::move(options)),
+      moves_(MoveControlOptions()),
+      gate_({.clock = clock_,
+             .metrics = &metrics_,
+             .on_change =
+                 [this](const decisions::server_record& server) {
+                   mesh_.SetServer(server);
+                 }}),
+      mesh_(MeshOptions()),
+      call_path_(CallPathOptions()),
+      platform_(PlatformOptions()),
+      endpoint_(EndpointOptions()) {}
+
+nodes::mesh_options node::state::MeshOptions() {
+  return {
+      .node_id = options_.node_id,
+      .data_centre = options_.data_centre,
+      .region = options_.region,
+      .rpc_address = options_.rpc_address,
+      .gate_address = options_.gate_address,
+      .seeds = options_.seeds,
+      .clock = clock_,
+      .random = random_,
+      .metrics = &metrics_,
+      .may_connect =
+          [this](const base::address& peer) { return cuts_.Allows(peer); },
+      .on_change =
+          [this](const decisions::fleet_view_ptr& view) { OnView(view); },
+      .on_evidence =
+          [this](const decisions::evidence_report& report) {
+            moves_.Merge(report);
+          },
+  };
+}
+
+callers::call_path_options node::state::CallPathOptions() {
+  return {
+      .node_id = options_.node_id,
+      .data_centre = options_.data_centre,
+      .outside_address = options_.outside_address,
+      .inside_address = options_.inside_address,
+      .gate_address = options_.gate_address,
+      .workers = options_.workers,
+      .clock = clock_,
+      .random = random_,
+      .metrics = &metrics_,
+      .gate = &gate_,
+      .view = [this] { return mesh_.View(); },
+      .moved_share =
+          [this](const decisions::move& move) {
+            return moves_.MovedShare(move);
+          },
+      .on_outcome =
+          [this](const decisions::call_outcome& outcome) {
+            moves_.Record(outcome);
+          },
+  };
+}
+
+platform_jobs_options node::state::PlatformOptions() {
+  return {
+      .data_centre = options_.data_centre,
+      .platform_address = options_.platform_address,
+      .clock = clock_,
+      .random = random_,
+      .metrics = &metrics_,
+      .mesh = &mesh_,
+      .may_connect = [this] { return cuts_.Allows(options_.platform_address); },
+  };
+}
+
+move_control_options node::state::MoveControlOptions() {
+  move_control_options made{
+      .tracker = {.node_id = options_.node_id,
+                  .data_centre = options_.data_centre,
+                  .incarnation = static_cast<std::uint64_t>(
+                      clock_().time_since_epoch().count()),
+                  .is_judge =
+                      [this](const std::string& move_id) {
+                        return mesh_.HasJob(nodes::JudgeJob(move_id),
+                                            nodes::kJudges);
+                      }},
+      .clock = clock_,
+      .send_report =
+          [this](const decisions::evidence_report& report) {
+            mesh_.SendEvidence(report);
+          },
+      .offer_move = [this](const decisions::move& move) { mesh_.Offer(move); },
+      .write_outcome =
+          [this](const decisions::move& move) {
+            platform_.WriteTakenBack(move);
+          },
+      .write_ready =
+          [this](const std::string& move_id) { platform_.WriteReady(move_id); },
+  };
+}
+
+operators::endpoint_options node::state::EndpointOptions() {
+  operators::endpoint_options made{
+      .listen_address = options_.operators_address,
+      .handlers = {
+          {"GET", "/healthz",
+           [](const std::string&) -> operators::endpoint_answer {
+             return {.content_type = "text/plain", .body = "ok\n"};
+           }},
+          {"GET", "/readyz",
+           [this](const std::string&) -> operators::endpoint_answer {
+             if (mesh_.View()->configuration && !draining_) {
+               return {.content_type = "text/plain", .body = "ready\n"};
+             }
+             return operators::AnswerTo(
+                 base::Fail(base::error_kind::kNotReady,
+                            draining_ ? "draining" : "no configuration yet"));
+           }},
+          {"GET", "/metrics",
+           [this](const std::string&) -> operators::endpoint_answer {
+             return {.content_type = "text/plain; version=0.0.4",
+                     .body = metrics_.ToPrometheusText()};
+           }},
+          {"GET", "/status",
+           [this](const std::string&) -> operators::endpoint_answer {
+             return {.body =
+                         NodeStatusText({.node_id = options_.node_id,
+                                         .data_centre = options_.data_centre,
+                                         .is_draining = draining_},
+                                        *mesh_.View())};
+           }},
+          {"POST", "/drain",
+           [this](const std::string&) -> operators::endpoint_answer {
+             draining_ = true;
+             gate_.Drain();
+             base::LogInfo("draining", {{"node", options_.node_id}});
+             return {.body = "{\"draining\":true}\n"};
+           }},
+          {"POST", "/announce",
+           [this](const std::string& body) { return Announce(body); }},
+      }};
+  if (options_.fault_switch) {
+    made.handlers.push_back(
+        {"POST", "/cut",
+         [this](const std::string& body) -> operators::endpoint_answer {
+           const base::status set = cuts_.Set(body);
+           if (!set) return operators::AnswerTo(set.Failure());
+           base::LogWarning("cut", {{"addresses", body}});
+           return {.body = "{}\n"};
+         }});
+  }
+  return made;
+}
+
+operators::endpoint_answer node::state::Announce(const std::string& body) {
+  const auto heard = backend_servers::ParseAnnouncement(body);
+  if (!heard) return operators::AnswerTo(heard.Failure());
+  const base::status taken = gate_.Announce(*heard);
+  if (!taken) return operators::AnswerTo(taken.Failure());
+  return {.body = "{}\n"};
+}
+
+void node::state::OnView(const decisions::fleet_view_ptr& view) {
+  moves_.SetView(*view);
+  if (!view->configuration) return;
+  const config::version_id& id = view->configuration->id;
+  if (id.version == configuration_version_) return;
+  configuration_version_ = id.version;
+  metrics_.Gauge("fireflyspar_configuration_version")
+      .store(static_cast<std::int64_t>(id.version));
+  base::LogInfo("configuration_in_force",
+                {{"version", std::to_string(id.version)},
+                 {"preset", view->configuration->content.name},
+                 {"hash", id.hash}});
+}
+
+void node::state::RunTicks(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    gate_.Tick();
+    moves_.Tick();
+    std::this_thread::sleep_for(kTickPeriod);
+  }
+}
+
+// A fresh node knows nothing, and must not serve by an older version than it
+// could have learnt. It waits until several others have answered, or the
+// platform has; cut off from both, it serves the best it heard once the limit
+// has passed.
+bool node::state::Join() {
+  const base::instant limit = clock_() + options_.join_wait;
+  constexpr milliseconds kPoll{20};
+  constexpr milliseconds kPeersFirst{500};
+  const base::instant ask_platform = clock_() + kPeersFirst;
+  bool has_asked = false;
+  while (clock_() < limit) {
+    const bool has_any = mesh_.View()->configuration != nullptr;
+    if (has_any && mesh_.PeersHeard() >= kPeersToHear) return true;
+    if (!has_asked && clock_() >= ask_platform) {
+      has_asked = true;
+      const auto left =
+          std::chrono::duration_cast<milliseconds>(limit - clock_());
+      if (platform_.FetchInto(left)) break;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return mesh_.View()->configuration != nullptr;
+}
+
+base::status node::state::Start() {
+  if (const auto started = mesh_.Start(); !started) return started;
+  if (const auto started = endpoint_.Start(); !started) return started;
+  platform_.Start();
+  if (!Join()) {
+    base::LogWarning("no_configuration_yet", {{"node", options_.node_id}});
+  }
+  if (const auto started = call_path_.Start(); !started) return started;
+  ticker_ =
+      std::jthread([this](const std::stop_token& stop) { RunTicks(stop); });
+  base::LogInfo("node_started", {{"node", options_.node_id},
+                                 {"data_centre", options_.data_centre}});
+  return base::nothing{};
+}
+
+bool node::state::Finish() {
+  base::LogInfo("node_leaving", {{"node", options_.node_id}});
+  draining_ = true;
+  gate_.Drain();
+  mesh_.Leave();
+  const bool finished = call_path_.Finish(options_.drain_limit);
+  ticker_.request_stop();
+  if (ticker_.joinable()) ticker_.join();
+  platform_.Stop();
+  endpoint_.Stop();
+  base::LogInfo("node_left", {{"node", options_.node_id},
+                              {"all_finished", finished ? "true" : "false"}});
+  return finished;
+}
+
+node::node(node_options options)
+    : state_(std::make_unique<state>(std::move(options))) {}
+
+node::~node() = default;
+
+base::status node::Start() { return state_->Start(); }
+
+bool node::Finish() { return state_->Finish(); }
+
+}  // namespace fireflyspar::app
