--- a/src/app/commands.cc
+++ b/src/app/commands.cc
@@ -2,6 +2,8 @@
 
 #include <iostream>
 
+#include "operators/commands.h"
+
 namespace fireflyspar::app {
 namespace {
 
@@ -15,9 +17,10 @@
 }  // namespace
 
 std::vector<command> Commands() {
-  return {
-      {.name = "version", .summary = "print the version", .run = PrintVersion},
-  };
+  std::vector<command> commands = operators::OperatorCommands();
+  commands.push_back(
+      {.name = "version", .summary = "print the version", .run = PrintVersion});
+  return commands;
 }
 
 }  // namespace fireflyspar::app
--- a/src/app/command.cc
+++ b/src/base/command.cc
@@ -1,11 +1,11 @@
-#include "app/command.h"
+#include "base/command.h"
 
 #include <algorithm>
 #include <iostream>
 
 #include "base/error.h"
 
-namespace fireflyspar::app {
+namespace fireflyspar::base {
 namespace {
 
 void PrintList(std::ostream& out, std::string_view program,
@@ -25,8 +25,7 @@
 
 int RunCommand(std::string_view program, std::span<const command> commands,
                std::span<const std::string> arguments) {
-  const int usage_exit_code =
-      base::AnswerFor(base::error_kind::kBadSettings).exit_code;
+  const int usage_exit_code = AnswerFor(error_kind::kBadSettings).exit_code;
   if (arguments.empty()) {
     PrintList(std::cerr, program, commands);
     return usage_exit_code;
@@ -45,4 +44,4 @@
   return found->run(arguments.subspan(1));
 }
 
-}  // namespace fireflyspar::app
+}  // namespace fireflyspar::base
--- /dev/null
+++ b/src/operators/audit_trail.cc
@@ -0,0 +1,251 @@
+#include "operators/audit_trail.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <iterator>
+
+#include "operators/platform_calls.h"
+#include "platform/records.h"
+
+namespace fireflyspar::operators {
+namespace {
+
+using base::error_kind;
+using base::Fail;
+
+constexpr std::string_view kHeadKey = "audit/head";
+
+// Each racing writer wins in turn; this many lose to others in a row only when
+// something else is wrong.
+constexpr int kMaxTries = 30;
+
+// Segments that are looked through for entries which are still pending.
+constexpr std::uint64_t kRecentSegments = 2;
+
+// Reads for settling the entries that others left, in one pass.
+constexpr int kMaxSettled = 20;
+
+std::string SegmentKey(std::uint64_t number) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%010llu",
+                static_cast<unsigned long long>(number));
+  return std::string(platform::kAuditPrefix) + text.data();
+}
+
+struct segment {
+  std::uint64_t number = 0;
+  platform::object stored;
+  std::vector<audit_entry> entries;
+  bool is_readable = true;
+};
+
+bool Contains(const std::vector<audit_entry>& entries,
+              std::string_view operation_id) {
+  return std::ranges::find(entries, operation_id, &audit_entry::operation_id) !=
+         entries.end();
+}
+
+// A segment that can't be read is left as it is and counts as full, so that a
+// damaged one doesn't keep operators from making changes.
+base::result<segment> ReadSegment(const context& with, std::uint64_t number) {
+  auto stored = GetOrNone(with, SegmentKey(number));
+  if (!stored) return stored.Failure();
+  segment read{.number = number, .stored = *std::move(stored)};
+  if (read.stored.version == 0) return read;
+  auto entries = ParseEntries(read.stored.value);
+  read.is_readable = entries.Ok();
+  if (entries) read.entries = *std::move(entries);
+  return read;
+}
+
+bool IsFull(const segment& value) {
+  return !value.is_readable || value.stored.value.size() >= kMaxSegmentBytes;
+}
+
+base::result<platform::object> ReadHead(const context& with,
+                                        std::uint64_t& number) {
+  auto head = GetOrNone(with, kHeadKey);
+  if (!head) return head;
+  const std::string& text = head->value;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return head;
+}
+
+// The last segment that exists, or the first, not made yet. Only after a full
+// one can there be another that the head doesn't name yet.
+base::result<segment> LastSegment(const context& with) {
+  std::uint64_t number = 0;
+  const auto head = ReadHead(with, number);
+  if (!head) return head.Failure();
+  while (true) {
+    auto last = ReadSegment(with, number);
+    if (!last || !IsFull(*last)) return last;
+    const auto next = GetOrNone(with, SegmentKey(number + 1));
+    if (!next) return next.Failure();
+    if (next->version == 0) return last;
+    ++number;
+  }
+}
+
+// Moves the head to the new segment and drops those that are too old. Both are
+// made good by a later segment when they fail here.
+void FinishNewSegment(const context& with, std::uint64_t number) {
+  std::uint64_t named = 0;
+  const auto head = ReadHead(with, named);
+  if (head && (named < number || head->version == 0)) {
+    (void)with.platform.put(kHeadKey, std::to_string(number), head->version);
+  }
+  constexpr std::uint64_t kLeftBehind = 3;
+  for (std::uint64_t i = 0; i < kLeftBehind; ++i) {
+    if (number < kMaxSegments + i) return;
+    const auto old = Get(with, SegmentKey(number - kMaxSegments - i));
+    if (old) (void)with.platform.remove(old->key, old->version);
+  }
+}
+
+base::result<write_result> WriteSegment(const context& with,
+                                        const segment& changed,
+                                        std::string_view operation_id) {
+  return Write(with, {.key = SegmentKey(changed.number),
+                      .value = ToText(changed.entries),
+                      .if_version = changed.stored.version,
+                      .is_ours = [&](const platform::object& now) {
+                        const auto entries = ParseEntries(now.value);
+                        return entries && Contains(*entries, operation_id);
+                      }});
+}
+
+// Settles pending entries by what their objects are now; true when any was.
+bool SettlePending(const context& with, std::span<const audit_entry> all,
+                   std::vector<audit_entry>& entries) {
+  bool changed = false;
+  int reads = 0;
+  for (audit_entry& each : entries) {
+    if (each.outcome != audit_outcome::kPending) continue;
+    if (++reads > kMaxSettled) break;
+    const auto now = GetOrNone(with, each.key);
+    if (!now) break;
+    const auto outcome = OutcomeOf(each, *now, all);
+    if (!outcome) continue;
+    each.outcome = *outcome;
+    changed = true;
+  }
+  return changed;
+}
+
+// The last `count` segments, oldest first.
+base::result<std::vector<segment>> LastSegments(const context& with,
+                                                std::uint64_t count) {
+  auto last = LastSegment(with);
+  if (!last) return last.Failure();
+  std::uint64_t number = last->number;
+  std::vector<segment> segments = {*std::move(last)};
+  while (number > 0 && segments.size() < count) {
+    auto before = ReadSegment(with, --number);
+    if (!before) return before.Failure();
+    segments.push_back(*std::move(before));
+  }
+  std::ranges::reverse(segments);
+  return segments;
+}
+
+std::vector<audit_entry> EntriesOf(const std::vector<segment>& segments) {
+  std::vector<audit_entry> entries;
+  for (const segment& each : segments) {
+    std::ranges::copy(each.entries, std::back_inserter(entries));
+  }
+  return entries;
+}
+
+// Settles and stores what `change` and the platform's objects tell; a segment
+// that another writer changed meanwhile is read again.
+base::status Settle(const context& with,
+                    const std::function<bool(audit_entry&)>& change) {
+  for (int tries = 0; tries < kMaxTries; ++tries) {
+    auto segments = LastSegments(with, kRecentSegments);
+    if (!segments) return segments.Failure();
+    const std::vector<audit_entry> all = EntriesOf(*segments);
+    bool all_stored = true;
+    for (segment& each : *segments) {
+      bool changed = false;
+      for (audit_entry& entry : each.entries) {
+        if (change(entry)) changed = true;
+      }
+      if (SettlePending(with, all, each.entries)) changed = true;
+      if (!changed) continue;
+      const auto written = with.platform.put(
+          each.stored.key, ToText(each.entries), each.stored.version);
+      if (written) continue;
+      if (written.Failure().Kind() != error_kind::kConflict &&
+          written.Failure().Kind() != error_kind::kAnswerLost) {
+        return written.Failure();
+      }
+      all_stored = false;
+    }
+    if (all_stored) return base::nothing{};
+  }
+  return Fail(error_kind::kConflict, "the audit trail keeps changing");
+}
+
+}  // namespace
+
+base::status AppendEntry(const context& with, const audit_entry& entry) {
+  for (int tries = 0; tries < kMaxTries; ++tries) {
+    auto last = LastSegment(with);
+    if (!last) return last.Failure();
+    if (Contains(last->entries, entry.operation_id)) return base::nothing{};
+    if (IsFull(*last)) last = segment{.number = last->number + 1};
+    last->entries.push_back(entry);
+    const auto written = WriteSegment(with, *last, entry.operation_id);
+    if (!written) return written.Failure();
+    if (!written->took_effect) continue;
+    if (last->stored.version == 0) FinishNewSegment(with, last->number);
+    return base::nothing{};
+  }
+  return Fail(error_kind::kConflict, "the audit trail keeps changing");
+}
+
+base::status NoteOutcome(const context& with, std::string_view operation_id,
+                         audit_outcome outcome, std::string_view detail) {
+  return Settle(with, [&](audit_entry& entry) {
+    if (entry.operation_id != operation_id ||
+        entry.outcome != audit_outcome::kPending) {
+      return false;
+    }
+    entry.outcome = outcome;
+    entry.detail = detail;
+    return true;
+  });
+}
+
+base::result<std::vector<audit_entry>> RecentEntries(const context& with) {
+  const auto segments = LastSegments(with, kRecentSegments);
+  if (!segments) return segments.Failure();
+  return EntriesOf(*segments);
+}
+
+base::result<std::vector<audit_entry>> ReadTrail(const context& with,
+                                                 std::size_t limit) {
+  // Reading must not fail because settling does.
+  (void)Settle(with, [](audit_entry&) { return false; });
+  auto last = LastSegment(with);
+  if (!last) return last.Failure();
+  std::uint64_t number = last->number;
+  std::vector<audit_entry> entries = std::move(last->entries);
+  while (entries.size() < limit && number > 0) {
+    const auto before = ReadSegment(with, --number);
+    if (!before) return before.Failure();
+    if (before->stored.version == 0) break;  // Dropped.
+    entries.insert(entries.begin(), before->entries.begin(),
+                   before->entries.end());
+  }
+  if (entries.size() > limit) {
+    entries.erase(entries.begin(),
+                  entries.end() - static_cast<std::ptrdiff_t>(limit));
+  }
+  return entries;
+}
+
+}  // namespace fireflyspar::operators
--- /dev/null
+++ b/src/operators/audited_change.cc
@@ -0,0 +1,40 @@
+#include "operators/audited_change.h"
+
+namespace fireflyspar::operators {
+namespace {
+
+using base::error_kind;
+
+}  // namespace
+
+base::status BeginChange(const context& with, const audit_entry& entry) {
+  const auto appended = AppendEntry(with, entry);
+  if (appended) return appended;
+  // Its own answer may be lost, but the change's can't be: it was not sent.
+  const error_kind kind = appended.Failure().Kind() == error_kind::kAnswerLost
+                              ? error_kind::kPlatformUnavailable
+                              : appended.Failure().Kind();
+  return base::Fail(
+      kind, "nothing was changed, as the audit trail can't be written: " +
+                appended.Failure().detail);
+}
+
+void EndChange(const context& with, const audit_entry& entry,
+               const base::failure* failure) {
+  if (failure == nullptr) {
+    (void)NoteOutcome(with, entry.operation_id, audit_outcome::kAccepted, "");
+    return;
+  }
+  if (failure->Kind() == error_kind::kAnswerLost) return;
+  (void)NoteOutcome(with, entry.operation_id, audit_outcome::kRefused,
+                    failure->detail);
+}
+
+base::result<bool> WasReplaced(const context& with, const audit_entry& entry,
+                               const platform::object& now) {
+  const auto entries = RecentEntries(with);
+  if (!entries) return entries.Failure();
+  return OutcomeOf(entry, now, *entries) == audit_outcome::kAccepted;
+}
+
+}  // namespace fireflyspar::operators
--- /dev/null
+++ b/src/operators/command_line.cc
@@ -0,0 +1,200 @@
+#include "operators/command_line.h"
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <sstream>
+#include <thread>
+
+#include "base/metrics.h"
+#include "config/preset.h"
+#include "platform/http_object_api.h"
+
+namespace fireflyspar::operators {
+namespace {
+
+using base::error_kind;
+using base::Fail;
+using base::setting;
+using base::setting_kind;
+using std::chrono::milliseconds;
+
+constexpr std::string_view kUnknownOperator = "unknown";
+
+// Reads one byte over a preset's limit at most; the parser then refuses it.
+base::result<std::string> ReadFile(const std::string& path) {
+  std::ifstream file;
+  if (path != "-") file.open(path, std::ios::binary);
+  std::istream& in = path == "-" ? std::cin : file;
+  std::string text(config::kMaxPresetBytes + 1, '\0');
+  in.read(text.data(), static_cast<std::streamsize>(text.size()));
+  if (in.bad() || (path != "-" && !file.is_open())) {
+    return Fail(error_kind::kNotFound, "can't read file '" + path + "'");
+  }
+  text.resize(static_cast<std::size_t>(in.gcount()));
+  return text;
+}
+
+platform::object_api MakePlatform(const base::address& address,
+                                  milliseconds timeout) {
+  static base::metrics metrics;  // Required by the client and read by nobody.
+  return platform::MakeHttpObjectApi(
+      {.platform_address = address, .timeout = timeout, .metrics = &metrics});
+}
+
+void AddPlatformSettings(bool required, std::vector<setting>& table) {
+  table.push_back({.name = "platform-address",
+                   .kind = setting_kind::kAddress,
+                   .help = "where the platform's object API listens",
+                   .required = required});
+  table.push_back({.name = "platform-timeout",
+                   .kind = setting_kind::kMilliseconds,
+                   .default_text = "2000",
+                   .help = "longest time of one call to the platform",
+                   .least = 1,
+                   .most = 600'000});
+}
+
+void AddNodeSettings(bool required, std::vector<setting>& table) {
+  table.push_back({.name = "node-address",
+                   .kind = setting_kind::kAddress,
+                   .help = "a node's operators' port",
+                   .required = required});
+  table.push_back({.name = "node-timeout",
+                   .kind = setting_kind::kMilliseconds,
+                   .default_text = "2000",
+                   .help = "longest time of one call to the node",
+                   .least = 1,
+                   .most = 600'000});
+}
+
+std::vector<setting> TableFor(const command_spec& spec) {
+  std::vector<setting> table;
+  if (spec.needed == needs::kPlatform ||
+      spec.needed == needs::kPlatformOrNode) {
+    AddPlatformSettings(spec.needed == needs::kPlatform, table);
+    table.push_back({.name = "operator",
+                     .help = "who is asking, for the audit trail; \"unknown\" "
+                             "when left out"});
+  }
+  if (spec.needed == needs::kNode || spec.needed == needs::kPlatformOrNode) {
+    AddNodeSettings(spec.needed == needs::kNode, table);
+  }
+  table.insert(table.end(), spec.own.begin(), spec.own.end());
+  table.push_back({.name = "json",
+                   .kind = setting_kind::kSwitch,
+                   .default_text = "false",
+                   .help = "print the result as one line of JSON"});
+  return table;
+}
+
+int BadSettings(const command_world& world, std::string_view program,
+                const std::string& problem) {
+  *world.progress << program << ": " << problem << '\n';
+  return base::AnswerFor(error_kind::kBadSettings).exit_code;
+}
+
+}  // namespace
+
+command_world ProcessWorld() {
+  return {
+      .out = &std::cout,
+      .progress = &std::cerr,
+      .make_platform = MakePlatform,
+      .call_node = CallNode,
+      .read_file = ReadFile,
+      .environment = base::ProcessEnvironment(),
+      .clock = base::SystemClock(),
+      .random = base::SystemRandom(),
+      .sleep = [](milliseconds time) { std::this_thread::sleep_for(time); }};
+}
+
+context invocation::Context() const {
+  const std::string& who = settings.Text("operator");
+  return {.platform =
+              world.make_platform(settings.Address("platform-address"),
+                                  settings.Milliseconds("platform-timeout")),
+          .who = who.empty() ? std::string(kUnknownOperator) : who,
+          .clock = world.clock,
+          .random = world.random,
+          .sleep = world.sleep};
+}
+
+void invocation::Progress(std::string_view line) const {
+  *world.progress << line << std::endl;
+}
+
+int RunWithSettings(const command_world& world, const command_spec& spec,
+                    std::span<const std::string> arguments,
+                    const command_body& body) {
+  const std::vector<setting> table = TableFor(spec);
+  const base::command_line line =
+      base::ReadCommandLine({.program = spec.program,
+                             .summary = spec.summary,
+                             .positional_help = spec.positional,
+                             .table = table,
+                             .environment = world.environment},
+                            arguments);
+  if (!line.parsed) return line.exit_code;
+  const auto positional = line.parsed->Positional();
+  if (positional.size() > 1) {
+    return BadSettings(world, spec.program,
+                       "'" + positional[1] + "' is not expected");
+  }
+  const bool required = !spec.positional.empty() && spec.positional_is_required;
+  if (required && positional.empty()) {
+    return BadSettings(world, spec.program,
+                       std::string(spec.positional) + " is required");
+  }
+  return body({.world = world,
+               .settings = *line.parsed,
+               .positional = positional.empty() ? "" : positional.front()});
+}
+
+int Failed(const invocation& call, const base::failure& failure) {
+  const base::answer& answer = base::AnswerFor(failure.Kind());
+  if (call.Json()) {
+    PrintJson(call, {{"error", answer.name}, {"detail", failure.detail}});
+  } else {
+    *call.world.progress << answer.name << ": " << failure.detail << '\n';
+  }
+  return answer.exit_code;
+}
+
+void PrintJson(const invocation& call, const nlohmann::ordered_json& value) {
+  *call.world.out << value.dump(
+                         -1, ' ', false,
+                         nlohmann::ordered_json::error_handler_t::replace)
+                  << std::endl;
+}
+
+std::vector<base::setting> WaitSettings() {
+  return {{.name = "wait-timeout",
+           .kind = setting_kind::kMilliseconds,
+           .default_text = "60000",
+           .help = "longest time to wait",
+           .least = 0,
+           .most = 86'400'000},
+          {.name = "poll-every",
+           .kind = setting_kind::kMilliseconds,
+           .default_text = "500",
+           .help = "pause between two looks at what is waited for",
+           .least = 10,
+           .most = 60'000}};
+}
+
+int WaitUntil(const invocation& call,
+              const std::function<std::optional<int>()>& is_over,
+              const std::function<std::string()>& waiting_for) {
+  const base::instant end =
+      call.world.clock() + call.settings.Milliseconds("wait-timeout");
+  while (true) {
+    if (const auto exit_code = is_over()) return *exit_code;
+    if (call.world.clock() >= end) {
+      return Failed(call, Fail(error_kind::kTimedOut, waiting_for()));
+    }
+    call.world.sleep(call.settings.Milliseconds("poll-every"));
+  }
+}
+
+}  // namespace fireflyspar::operators
--- /dev/null
+++ b/src/operators/commands.h
@@ -0,0 +1,18 @@
+// The operators' subcommands of the one binary.
+#ifndef FIREFLYSPAR_OPERATORS_COMMANDS_H_
+#define FIREFLYSPAR_OPERATORS_COMMANDS_H_
+
+#include <vector>
+
+#include "base/command.h"
+#include "operators/command_line.h"
+
+namespace fireflyspar::operators {
+
+// preset, move, status, drain and audit.
+std::vector<base::command> OperatorCommands(
+    const command_world& world = ProcessWorld());
+
+}  // namespace fireflyspar::operators
+
+#endif  // FIREFLYSPAR_OPERATORS_COMMANDS_H_
--- /dev/null
+++ b/src/operators/move_cli.cc
@@ -0,0 +1,193 @@
+#include "operators/move_cli.h"
+
+#include <iostream>
+
+#include "operators/move_commands.h"
+#include "operators/time_text.h"
+
+namespace fireflyspar::operators {
+namespace {
+
+using base::error_kind;
+using decisions::move;
+using decisions::move_state;
+using nlohmann::ordered_json;
+
+std::string_view StateText(const move& value) {
+  switch (value.state) {
+    case move_state::kRunning:
+      return "running";
+    case move_state::kTakenBack:
+      return "taken_back";
+    case move_state::kDone:
+      break;
+  }
+  return "done";
+}
+
+ordered_json ToJson(const move& value) {
+  return {{"move", value.id},
+          {"service", value.service},
+          {"from", value.old_version},
+          {"to", value.new_version},
+          {"start", TimeText(value.start)},
+          {"by", TimeText(value.by)},
+          {"operation_id", value.operation_id},
+          {"state", StateText(value)},
+          {"final", value.is_final},
+          {"evidence", value.evidence},
+          {"ready_data_centres", value.ready_data_centres}};
+}
+
+std::string Line(const move& value) {
+  std::string text = value.id + ": " + value.service + " " + value.old_version +
+                     " -> " + value.new_version + " by " + TimeText(value.by) +
+                     ": " + std::string(StateText(value));
+  if (!value.is_final && value.state != move_state::kRunning) {
+    text += ", not yet final";
+  }
+  for (const std::string& each : value.ready_data_centres) {
+    text += (&each == &value.ready_data_centres.front() ? ", ready: " : ", ") +
+            each;
+  }
+  if (!value.evidence.empty()) text += ": " + value.evidence;
+  return text;
+}
+
+int Print(const invocation& call, const move& value) {
+  if (call.Json()) {
+    PrintJson(call, ToJson(value));
+  } else {
+    *call.world.out << Line(value) << '\n';
+  }
+  return 0;
+}
+
+int PrintOr(const invocation& call, const base::result<move>& value) {
+  return value ? Print(call, *value) : Failed(call, value.Failure());
+}
+
+int Start(const invocation& call) {
+  const context with = call.Context();
+  const base::instant now = with.clock();
+  const auto start = ParseTime(call.settings.Text("start"), now);
+  if (!start) return Failed(call, start.Failure());
+  const auto by = ParseTime(call.settings.Text("by"), now);
+  if (!by) return Failed(call, by.Failure());
+  return PrintOr(call,
+                 StartMove(with, {.service = call.settings.Text("service"),
+                                  .old_version = call.settings.Text("from"),
+                                  .new_version = call.settings.Text("to"),
+                                  .start = *start,
+                                  .by = *by}));
+}
+
+int ListAll(const invocation& call) {
+  const auto moves = ListMoves(call.Context());
+  if (!moves) return Failed(call, moves.Failure());
+  if (call.Json()) {
+    ordered_json list = ordered_json::array();
+    for (const move& each : *moves) list.push_back(ToJson(each));
+    PrintJson(call, {{"moves", std::move(list)}});
+    return 0;
+  }
+  for (const move& each : *moves) *call.world.out << Line(each) << '\n';
+  return 0;
+}
+
+int Show(const invocation& call) {
+  return PrintOr(call, ShowMove(call.Context(), call.positional));
+}
+
+int TakeBack(const invocation& call) {
+  return PrintOr(call, TakeBackMove(call.Context(), call.positional));
+}
+
+// The outcome's exit code, so that a script can branch on it.
+int Finish(const invocation& call, const move& value) {
+  Print(call, value);
+  return value.state == move_state::kDone
+             ? 0
+             : base::AnswerFor(error_kind::kTakenBack).exit_code;
+}
+
+int Wait(const invocation& call) {
+  const context with = call.Context();
+  std::string last;
+  const auto is_over = [&]() -> std::optional<int> {
+    const auto value = ShowMove(with, call.positional);
+    if (value && value->is_final) return Finish(call, *value);
+    if (!value && value.Failure().Kind() == error_kind::kNotFound) {
+      return Failed(call, value.Failure());
+    }
+    const std::string now = value ? Line(*value) : value.Failure().detail;
+    if (now != last) call.Progress(now);
+    last = now;
+    return {};
+  };
+  return WaitUntil(call, is_over,
+                   [&] { return "the move has no outcome yet: " + last; });
+}
+
+std::vector<base::setting> StartSettings() {
+  return {{.name = "service",
+           .help = "the service whose calls are to move",
+           .required = true},
+          {.name = "from", .help = "the old version", .required = true},
+          {.name = "to", .help = "the new version", .required = true},
+          {.name = "by",
+           .help = "time by which all calls are to have moved: UTC as in "
+                   "2026-12-03T23:30:00Z, or from now as in +90s, +15m, +2h",
+           .required = true},
+          {.name = "start",
+           .default_text = "+0s",
+           .help = "time at which calls begin to move, written as --by"}};
+}
+
+}  // namespace
+
+std::vector<base::command> MoveCommands(const command_world& world) {
+  const auto run = [world](const command_spec& spec, command_body body) {
+    return [world, spec,
+            body = std::move(body)](std::span<const std::string> arguments) {
+      return RunWithSettings(world, spec, arguments, body);
+    };
+  };
+  return {
+      {.name = "start",
+       .summary = "ask for a move from an old version to a new one",
+       .run = run({.program = "fireflyspar move start",
+                   .summary = "Moves a service's calls from an old version to "
+                              "a new one by a given time.",
+                   .own = StartSettings()},
+                  Start)},
+      {.name = "list",
+       .summary = "list the moves and their outcomes",
+       .run = run({.program = "fireflyspar move list",
+                   .summary = "Lists the moves and their outcomes."},
+                  ListAll)},
+      {.name = "show",
+       .summary = "print one move",
+       .run = run({.program = "fireflyspar move show",
+                   .summary = "Prints the move with its evidence.",
+                   .positional = "MOVE"},
+                  Show)},
+      {.name = "take-back",
+       .summary = "take a move back by hand",
+       .run = run({.program = "fireflyspar move take-back",
+                   .summary = "Takes the move back: all calls return to the "
+                              "old version. A move that is done stays done.",
+                   .positional = "MOVE"},
+                  TakeBack)},
+      {.name = "wait",
+       .summary = "wait until a move is done or taken back",
+       .run = run({.program = "fireflyspar move wait",
+                   .summary = "Waits until the move is done (exit code 0) or "
+                              "taken back (exit code 9).",
+                   .positional = "MOVE",
+                   .own = WaitSettings()},
+                  Wait)},
+  };
+}
+
+}  // namespace fireflyspar::operators
--- a/src/operators/move_commands.cc
+++ b/src/operators/move_commands.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "operators/audited_change.h"
+#include "operators/move_reservation.h"
 #include "operators/platform_calls.h"
 #include "operators/preset_commands.h"
 
@@ -72,6 +74,65 @@
   return platform::ParseMove(from.value);
 }
 
+std::string Described(const move& value) {
+  return "move '" + value.id + "': " + value.service + " " + value.old_version +
+         " -> " + value.new_version;
+}
+
+base::result<move> Create(const context& with, const move& started) {
+  const auto reserved = ReserveService(with, started);
+  if (!reserved) return reserved.Failure();
+  const auto written = Write(
+      with, {.key = MoveKey(started.id),
+             .value = platform::ToText(started),
+             .if_version = 0,
+             .is_ours = [&](const auto& now) { return Holds(now, started); }});
+  if (!written) return written.Failure();
+  auto stored = ParseMoveAt(written->now);
+  if (stored && stored->evidence.starts_with(kNeverStarted)) {
+    return Fail(error_kind::kConflict, stored->evidence);
+  }
+  return stored;
+}
+
+// The move as it is after being taken back by this operation.
+move TakenBack(const context& with, move value,
+               const std::string& operation_id) {
+  value.state = move_state::kTakenBack;
+  value.is_final = true;
+  value.evidence =
+      "taken back by hand by " + with.who + " " + OperationNote(operation_id);
+  return value;
+}
+
+base::failure DoneAlready(const move& value) {
+  return Fail(error_kind::kConflict, "move '" + value.id + "' is done already");
+}
+
+base::result<move> TakeBack(const context& with, const audit_entry& entry) {
+  for (int tries = 0; tries < kMaxTakeBackTries; ++tries) {
+    const auto before = Get(with, entry.key);
+    if (!before) return before.Failure();
+    const auto current = ParseMoveAt(*before);
+    if (!current) return current.Failure();
+    if (current->is_final) {
+      if (current->state == move_state::kDone) return DoneAlready(*current);
+      return current;
+    }
+    const move next = TakenBack(with, *current, entry.operation_id);
+    const auto written =
+        Write(with, {.key = before->key,
+                     .value = platform::ToText(next),
+                     .if_version = before->version,
+                     .is_ours = [&](const auto& now) {
+                       return MarkOf(now) == entry.operation_id;
+                     }});
+    if (!written) return written.Failure();
+    if (written->took_effect) return next;
+  }
+  return Fail(error_kind::kConflict, entry.key + " keeps changing; try again");
+}
+
 }  // namespace
 
 base::result<move> StartMove(const context& with, const move_request& request) {
@@ -86,13 +147,15 @@
                         .start = request.start,
                         .by = request.by,
                         .operation_id = operation_id};
-  const auto written = Write(
-      with, {.key = MoveKey(started.id),
-             .value = platform::ToText(started),
-             .if_version = 0,
-             .is_ours = [&](const auto& now) { return Holds(now, started); }});
-  if (!written) return written.Failure();
-  return ParseMoveAt(written->now);
+  const audit_entry entry = {.operation_id = operation_id,
+                             .who = with.who,
+                             .when = with.clock(),
+                             .action = audit_action::kStartMove,
+                             .from = "nothing",
+                             .to = Described(started),
+                             .key = MoveKey(started.id),
+                             .mark_after = operation_id};
+  return Audited<move>(with, entry, [&] { return Create(with, started); });
 }
 
 base::result<std::vector<move>> ListMoves(const context& with) {
@@ -116,31 +179,23 @@
 }
 
 base::result<move> TakeBackMove(const context& with, std::string_view id) {
-  for (int tries = 0; tries < kMaxTakeBackTries; ++tries) {
-    const auto before = Get(with, MoveKey(id));
-    if (!before) return before.Failure();
-    auto current = ParseMoveAt(*before);
-    if (!current) return current.Failure();
-    if (current->is_final && current->state == move_state::kDone) {
-      return Fail(error_kind::kConflict,
-                  "move '" + current->id + "' is done already");
-    }
-    if (current->is_final) return current;
-    current->state = move_state::kTakenBack;
-    current->is_final = true;
-    current->evidence = "taken back by hand by " + with.who + " (operation " +
-                        NewOperationId(with.random) + ")";
-    const std::string text = platform::ToText(*current);
-    const auto written = Write(
-        with, {.key = before->key,
-               .value = text,
-               .if_version = before->version,
-               .is_ours = [&](const auto& now) { return now.value == text; }});
-    if (!written) return written.Failure();
-    if (written->took_effect) return current;
+  auto current = ShowMove(with, id);
+  if (!current) return current;
+  if (current->is_final) {
+    if (current->state == move_state::kDone) return DoneAlready(*current);
+    return current;
   }
-  return Fail(error_kind::kConflict,
-              "move '" + std::string(id) + "' keeps changing; try again");
+  const std::string operation_id = NewOperationId(with.random);
+  const audit_entry entry = {.operation_id = operation_id,
+                             .who = with.who,
+                             .when = with.clock(),
+                             .action = audit_action::kTakeBackMove,
+                             .from = Described(*current),
+                             .to = "taken back",
+                             .key = MoveKey(id),
+                             .mark_before = current->operation_id,
+                             .mark_after = operation_id};
+  return Audited<move>(with, entry, [&] { return TakeBack(with, entry); });
 }
 
 }  // namespace fireflyspar::operators
--- /dev/null
+++ b/src/operators/move_reservation.cc
@@ -0,0 +1,68 @@
+#include "operators/move_reservation.h"
+
+#include "operators/audit_entry.h"
+#include "operators/platform_calls.h"
+
+namespace fireflyspar::operators {
+namespace {
+
+using base::error_kind;
+using base::Fail;
+using decisions::move;
+
+base::failure UnderWay(const move& other) {
+  return Fail(error_kind::kConflict,
+              "move '" + other.id +
+                  "' of the same service is under way, from '" +
+                  other.old_version + "' to '" + other.new_version + "'");
+}
+
+// Makes sure that the move which has the reservation is over, and gives it up
+// in its operator's place if it was never created.
+base::status EndOther(const context& with, const move& other) {
+  move given_up = other;
+  given_up.state = decisions::move_state::kTakenBack;
+  given_up.is_final = true;
+  given_up.evidence = std::string(kNeverStarted) +
+                      ": given up for another move of the service by " +
+                      with.who;
+  const std::string text = platform::ToText(given_up);
+  const auto written = Write(
+      with, {.key = std::string(platform::kMovePrefix) + other.id,
+             .value = text,
+             .if_version = 0,
+             .is_ours = [&](const auto& now) { return now.value == text; }});
+  if (!written) return written.Failure();
+  if (written->took_effect) return base::nothing{};
+  const auto stored = platform::ParseMove(written->now.value);
+  if (!stored) return stored.Failure();
+  if (!stored->is_final) return UnderWay(*stored);
+  return base::nothing{};
+}
+
+}  // namespace
+
+base::status ReserveService(const context& with, const move& value) {
+  const std::string key = std::string(kReservationPrefix) + value.service;
+  const auto before = GetOrNone(with, key);
+  if (!before) return before.Failure();
+  if (before->version != 0) {
+    const auto other = platform::ParseMove(before->value);
+    if (!other) return other.Failure();
+    const auto ended = EndOther(with, *other);
+    if (!ended) return ended;
+  }
+  const std::string text = platform::ToText(value);
+  const auto written = Write(
+      with, {.key = key,
+             .value = text,
+             .if_version = before->version,
+             .is_ours = [&](const auto& now) { return now.value == text; }});
+  if (!written) return written.Failure();
+  if (written->took_effect) return base::nothing{};
+  const auto other = platform::ParseMove(written->now.value);
+  if (!other) return other.Failure();
+  return UnderWay(*other);
+}
+
+}  // namespace fireflyspar::operators
--- /dev/null
+++ b/src/operators/preset_cli.cc
@@ -0,0 +1,207 @@
+#include "operators/preset_cli.h"
+
+#include <algorithm>
+#include <iostream>
+
+#include "config/preset_text.h"
+#include "operators/fleet_status.h"
+#include "operators/preset_commands.h"
+
+namespace fireflyspar::operators {
+namespace {
+
+using base::error_kind;
+using nlohmann::ordered_json;
+
+ordered_json ToJson(const config::faults& faults) {
+  ordered_json list = ordered_json::array();
+  for (const config::fault& each : faults) {
+    list.push_back({{"pointer", each.pointer},
+                    {"value", each.value},
+                    {"expected", each.expected}});
+  }
+  return {{"faults", std::move(list)}};
+}
+
+int PrintFaults(const invocation& call, const config::faults& faults) {
+  if (call.Json()) {
+    PrintJson(call, ToJson(faults));
+  } else {
+    for (const config::fault& each : faults) {
+      *call.world.progress << call.positional << ": "
+                           << (each.pointer.empty() ? "/" : each.pointer)
+                           << ": " << each.value << ": expected "
+                           << each.expected << '\n';
+    }
+  }
+  return base::AnswerFor(error_kind::kBadPreset).exit_code;
+}
+
+// Runs `use` on the preset in the named file, or tells its faults.
+int WithPresetFile(const invocation& call,
+                   const std::function<int(const config::preset&)>& use) {
+  const auto text = call.world.read_file(call.positional);
+  if (!text) return Failed(call, text.Failure());
+  const auto parsed = config::ParsePreset(*text);
+  if (const auto* faults = std::get_if<config::faults>(&parsed)) {
+    return PrintFaults(call, *faults);
+  }
+  return use(std::get<config::preset>(parsed));
+}
+
+int Check(const invocation& call) {
+  return WithPresetFile(call, [&](const config::preset& value) {
+    if (call.Json()) {
+      PrintJson(call, ToJson(config::faults{}));
+    } else {
+      *call.world.out << "preset '" << value.name << "' has no faults\n";
+    }
+    return 0;
+  });
+}
+
+int Put(const invocation& call) {
+  return WithPresetFile(call, [&](const config::preset& value) {
+    const auto stored = PutPreset(call.Context(), value);
+    if (!stored) return Failed(call, stored.Failure());
+    if (call.Json()) {
+      PrintJson(call, {{"preset", stored->name},
+                       {"hash", stored->hash},
+                       {"bytes", stored->bytes}});
+    } else {
+      *call.world.out << "stored preset '" << stored->name << "', "
+                      << stored->bytes << " bytes, hash " << stored->hash
+                      << '\n';
+    }
+    return 0;
+  });
+}
+
+int ListAll(const invocation& call) {
+  const context with = call.Context();
+  const auto presets = ListPresets(with);
+  if (!presets) return Failed(call, presets.Failure());
+  const auto current = ReadInForce(with);
+  if (!current) return Failed(call, current.Failure());
+  const auto is_in_force = [&](const stored_preset& each) {
+    return *current && (*current)->preset == each.name;
+  };
+  ordered_json list = ordered_json::array();
+  for (const stored_preset& each : *presets) {
+    list.push_back({{"preset", each.name},
+                    {"hash", each.hash},
+                    {"bytes", each.bytes},
+                    {"in_force", is_in_force(each)}});
+  }
+  if (call.Json()) {
+    PrintJson(call, {{"presets", std::move(list)}});
+    return 0;
+  }
+  for (const stored_preset& each : *presets) {
+    *call.world.out << (is_in_force(each) ? "* " : "  ") << each.name << "  "
+                    << each.bytes << " bytes  " << each.hash << '\n';
+  }
+  return 0;
+}
+
+int Show(const invocation& call) {
+  const context with = call.Context();
+  const auto text = call.positional.empty() ? ShowInForce(with)
+                                            : ShowPreset(with, call.positional);
+  if (!text) return Failed(call, text.Failure());
+  if (call.Json()) {
+    PrintJson(call, ordered_json::parse(*text, nullptr, false));
+  } else {
+    constexpr int kIndent = 2;
+    *call.world.out << ordered_json::parse(*text, nullptr, false).dump(kIndent)
+                    << '\n';
+  }
+  return 0;
+}
+
+int Use(const invocation& call) {
+  const context with = call.Context();
+  const auto chosen = UsePreset(with, call.positional);
+  if (!chosen) return Failed(call, chosen.Failure());
+  const auto print = [&](bool everywhere) {
+    if (call.Json()) {
+      PrintJson(call, {{"version", chosen->id.version},
+                       {"preset", chosen->preset},
+                       {"hash", chosen->id.hash},
+                       {"operation_id", chosen->operation_id},
+                       {"in_force_everywhere", everywhere}});
+    } else {
+      *call.world.out << "version " << chosen->id.version << ", preset '"
+                      << chosen->preset << "', "
+                      << (everywhere ? "is in force everywhere" : "is accepted")
+                      << " (operation " << chosen->operation_id << ")\n";
+    }
+  };
+  if (!call.settings.Switch("wait")) {
+    print(false);
+    return 0;
+  }
+  call.Progress("version " + std::to_string(chosen->id.version) +
+                " is accepted; waiting until every node has it");
+  const int exit_code = WaitForVersion(call, with, *chosen);
+  if (exit_code == 0) print(true);
+  return exit_code;
+}
+
+}  // namespace
+
+std::vector<base::command> PresetCommands(const command_world& world) {
+  const auto run = [world](const command_spec& spec, command_body body) {
+    return [world, spec,
+            body = std::move(body)](std::span<const std::string> arguments) {
+      return RunWithSettings(world, spec, arguments, body);
+    };
+  };
+  std::vector<base::setting> use_settings = WaitSettings();
+  use_settings.insert(use_settings.begin(),
+                      {.name = "wait",
+                       .kind = base::setting_kind::kSwitch,
+                       .default_text = "false",
+                       .help = "wait until every node has the version"});
+  return {
+      {.name = "put",
+       .summary = "check a preset and store it under its name",
+       .run = run({.program = "fireflyspar preset put",
+                   .summary = "Checks the preset in FILE (-: standard input) "
+                              "and stores it under its name.",
+                   .positional = "FILE"},
+                  Put)},
+      {.name = "check",
+       .summary = "tell every fault of a preset; store nothing",
+       .run = run({.program = "fireflyspar preset check",
+                   .summary = "Tells every fault of the preset in FILE (-: "
+                              "standard input) with its JSON pointer.",
+                   .positional = "FILE",
+                   .needed = needs::kNothing},
+                  Check)},
+      {.name = "list",
+       .summary = "list the stored presets and mark the one in force",
+       .run = run({.program = "fireflyspar preset list",
+                   .summary = "Lists the stored presets; * marks the one in "
+                              "force. Sizes are in bytes."},
+                  ListAll)},
+      {.name = "show",
+       .summary = "print a preset, or the one in force",
+       .run = run({.program = "fireflyspar preset show",
+                   .summary = "Prints the stored preset, or, without NAME, "
+                              "the content in force.",
+                   .positional = "NAME",
+                   .positional_is_required = false},
+                  Show)},
+      {.name = "use",
+       .summary = "put a stored preset in force",
+       .run = run({.program = "fireflyspar preset use",
+                   .summary = "Puts the stored preset in force under the next "
+                              "version.",
+                   .positional = "NAME",
+                   .own = use_settings},
+                  Use)},
+  };
+}
+
+}  // namespace fireflyspar::operators
--- a/src/operators/preset_commands.cc
+++ b/src/operators/preset_commands.cc
@@ -5,6 +5,7 @@
 
 #include "base/hash.h"
 #include "config/preset_text.h"
+#include "operators/audited_change.h"
 #include "operators/platform_calls.h"
 
 namespace fireflyspar::operators {
@@ -57,24 +58,57 @@
   return platform::ParseInForce(from.value);
 }
 
+std::string Described(const platform::in_force& value) {
+  if (value.id.version == 0) return "nothing";
+  return "version " + std::to_string(value.id.version) + ", preset '" +
+         value.preset + "'";
+}
+
 // The compare-and-set itself.
 base::result<platform::in_force> Choose(const context& with,
-                                        const platform::object& before,
+                                        const audit_entry& entry,
                                         const platform::in_force& next) {
   const auto written =
-      Write(with, {.key = std::string(platform::kInForceKey),
-                   .value = ToText(next),
-                   .if_version = before.version,
+      Write(with, {.key = entry.key,
+                   .value = platform::ToText(next),
+                   .if_version = entry.if_version,
                    .is_ours = [&](const auto& now) {
                      return HasOperation(now, next.operation_id);
                    }});
   if (!written) return written.Failure();
   if (written->took_effect) return next;
+  if (written->was_lost) {
+    const auto replaced = WasReplaced(with, entry, written->now);
+    if (!replaced) return Fail(error_kind::kAnswerLost, next.operation_id);
+    if (*replaced) return next;
+  }
   const auto winner = ParsePresent(written->now);
   if (!winner) return winner.Failure();
   return LostTo(*winner);
 }
 
+base::result<stored_preset> Store(const context& with, const audit_entry& entry,
+                                  const std::string& text) {
+  const auto written = Write(
+      with, {.key = entry.key,
+             .value = text,
+             .if_version = entry.if_version,
+             .is_ours = [&](const auto& now) { return now.value == text; }});
+  if (!written) return written.Failure();
+  if (written->took_effect) return Describe(written->now);
+  if (written->was_lost) {
+    const auto replaced = WasReplaced(with, entry, written->now);
+    if (!replaced) return Fail(error_kind::kAnswerLost, entry.operation_id);
+    if (*replaced) {
+      return Describe({.key = entry.key, .version = 0, .value = text});
+    }
+  }
+  return Fail(error_kind::kConflict,
+              "another operator changed '" + entry.key +
+                  "' at the same moment; its hash now is " +
+                  base::ContentHash(written->now.value));
+}
+
 }  // namespace
 
 base::result<stored_preset> PutPreset(const context& with,
@@ -83,19 +117,21 @@
   const std::string key = PresetKey(value.name);
   const auto before = GetOrNone(with, key);
   if (!before) return before.Failure();
-  const auto written = Write(
-      with, {.key = key,
-             .value = text,
-             .if_version = before->version,
-             .is_ours = [&](const auto& now) { return now.value == text; }});
-  if (!written) return written.Failure();
-  if (!written->took_effect) {
-    return Fail(error_kind::kConflict,
-                "another operator changed preset '" + value.name +
-                    "' at the same moment; its hash now is " +
-                    base::ContentHash(written->now.value));
-  }
-  return Describe(written->now);
+  const std::string hash = base::ContentHash(text);
+  const std::string mark_before = MarkOf(*before);
+  const audit_entry entry = {
+      .operation_id = NewOperationId(with.random),
+      .who = with.who,
+      .when = with.clock(),
+      .action = audit_action::kPutPreset,
+      .from = mark_before.empty() ? "nothing" : "hash " + mark_before,
+      .to = "preset '" + value.name + "', hash " + hash,
+      .key = key,
+      .if_version = before->version,
+      .mark_before = mark_before,
+      .mark_after = hash};
+  return Audited<stored_preset>(with, entry,
+                                [&] { return Store(with, entry, text); });
 }
 
 base::result<std::vector<stored_preset>> ListPresets(const context& with) {
@@ -125,6 +161,16 @@
   return std::optional(*std::move(read));
 }
 
+base::result<std::string> ShowInForce(const context& with) {
+  const auto current = ReadInForce(with);
+  if (!current) return current.Failure();
+  if (!*current) return Fail(error_kind::kNotFound, "no preset is in force");
+  const auto snapshot =
+      Get(with, std::string(platform::kSnapshotPrefix) + (*current)->id.hash);
+  if (!snapshot) return snapshot.Failure();
+  return snapshot->value;
+}
+
 base::result<platform::in_force> UsePreset(const context& with,
                                            std::string_view name) {
   const auto text = ShowPreset(with, name);
@@ -143,7 +189,18 @@
       .id = {.version = current->id.version + 1, .hash = hash},
       .preset = std::string(name),
       .operation_id = NewOperationId(with.random)};
-  return Choose(with, *before, next);
+  const audit_entry entry = {.operation_id = next.operation_id,
+                             .who = with.who,
+                             .when = with.clock(),
+                             .action = audit_action::kUsePreset,
+                             .from = Described(*current),
+                             .to = Described(next),
+                             .key = std::string(platform::kInForceKey),
+                             .if_version = before->version,
+                             .mark_before = current->operation_id,
+                             .mark_after = next.operation_id};
+  return Audited<platform::in_force>(with, entry,
+                                     [&] { return Choose(with, entry, next); });
 }
 
 }  // namespace fireflyspar::operators
--- a/src/operators/preset_commands.h
+++ b/src/operators/preset_commands.h
@@ -36,6 +36,9 @@
 base::result<std::string> ShowPreset(const context& with,
                                      std::string_view name);
 
+// The canonical text in force; kNotFound when no preset was ever chosen.
+base::result<std::string> ShowInForce(const context& with);
+
 // What is in force; nothing when no preset was ever chosen.
 base::result<std::optional<platform::in_force>> ReadInForce(
     const context& with);
--- /dev/null
+++ b/src/operators/status_cli.cc
@@ -0,0 +1,183 @@
+#include "operators/status_cli.h"
+
+#include <chrono>
+#include <iostream>
+
+#include "operators/audit_trail.h"
+#include "operators/fleet_status.h"
+#include "operators/time_text.h"
+
+namespace fireflyspar::operators {
+namespace {
+
+using nlohmann::ordered_json;
+using platform::status_report;
+using platform::version_count;
+
+ordered_json ToJson(const fleet_status& status) {
+  ordered_json list = ordered_json::array();
+  for (const status_report& each : status.data_centres) {
+    ordered_json versions = ordered_json::array();
+    for (const version_count& count : each.versions) {
+      versions.push_back({{"version", count.version}, {"nodes", count.nodes}});
+    }
+    list.push_back({{"data_centre", each.data_centre},
+                    {"nodes", each.nodes},
+                    {"versions", std::move(versions)},
+                    {"lagging", each.lagging},
+                    {"written_at", TimeText(each.written_at)}});
+  }
+  ordered_json in_force = nullptr;
+  if (status.in_force) {
+    in_force = {{"version", status.in_force->id.version},
+                {"preset", status.in_force->preset},
+                {"hash", status.in_force->id.hash},
+                {"operation_id", status.in_force->operation_id}};
+  }
+  return {{"in_force", std::move(in_force)}, {"data_centres", std::move(list)}};
+}
+
+void PrintReport(const invocation& call, const status_report& report) {
+  const auto age = std::chrono::floor<std::chrono::seconds>(call.world.clock() -
+                                                            report.written_at);
+  std::ostream& out = *call.world.out;
+  out << report.data_centre << ": " << report.nodes << " nodes";
+  for (const version_count& each : report.versions) {
+    out << ", " << each.nodes << " at version " << each.version;
+  }
+  out << ", told " << age.count() << " s ago\n";
+  for (const std::string& each : report.lagging) {
+    out << "  lagging: " << each << '\n';
+  }
+}
+
+int FleetStatus(const invocation& call) {
+  const auto status = ReadFleetStatus(call.Context());
+  if (!status) return Failed(call, status.Failure());
+  if (call.Json()) {
+    PrintJson(call, ToJson(*status));
+    return 0;
+  }
+  if (status->in_force) {
+    *call.world.out << "in force: version " << status->in_force->id.version
+                    << ", preset '" << status->in_force->preset << "'\n";
+  } else {
+    *call.world.out << "in force: nothing\n";
+  }
+  for (const status_report& each : status->data_centres) {
+    PrintReport(call, each);
+  }
+  return 0;
+}
+
+// Asks the node and prints its answer, which is JSON.
+int AskNode(const invocation& call, std::string_view method,
+            std::string_view path) {
+  const auto answer = call.world.call_node(
+      {.method = method,
+       .node = call.settings.Address("node-address"),
+       .path = path,
+       .timeout = call.settings.Milliseconds("node-timeout")});
+  if (!answer) return Failed(call, answer.Failure());
+  constexpr int kIndent = 2;
+  const auto body = ordered_json::parse(*answer, nullptr, false);
+  if (body.is_discarded()) {
+    *call.world.out << *answer << '\n';
+  } else if (call.Json()) {
+    PrintJson(call, body);
+  } else {
+    *call.world.out << body.dump(kIndent) << '\n';
+  }
+  return 0;
+}
+
+bool IsGiven(const invocation& call, std::string_view name) {
+  return call.settings.Address(name).port != 0;
+}
+
+int Status(const invocation& call) {
+  if (IsGiven(call, "node-address")) return AskNode(call, "GET", "/status");
+  if (IsGiven(call, "platform-address")) return FleetStatus(call);
+  return Failed(call, base::Fail(base::error_kind::kBadSettings,
+                                 "--platform-address or --node-address is "
+                                 "required"));
+}
+
+int Drain(const invocation& call) { return AskNode(call, "POST", "/drain"); }
+
+ordered_json ToJson(const audit_entry& entry) {
+  return {{"when", TimeText(entry.when)},
+          {"who", entry.who},
+          {"operation_id", entry.operation_id},
+          {"action", ToText(entry.action)},
+          {"from", entry.from},
+          {"to", entry.to},
+          {"outcome", ToText(entry.outcome)},
+          {"detail", entry.detail}};
+}
+
+void PrintEntry(std::ostream& out, const audit_entry& entry) {
+  out << TimeText(entry.when) << "  " << entry.who << "  "
+      << ToText(entry.action) << "  " << ToText(entry.outcome) << "  from "
+      << entry.from << "  to " << entry.to << "  operation "
+      << entry.operation_id;
+  if (!entry.detail.empty()) out << "  (" << entry.detail << ")";
+  out << '\n';
+}
+
+int Audit(const invocation& call) {
+  const auto limit = static_cast<std::size_t>(call.settings.Number("limit"));
+  const auto entries = ReadTrail(call.Context(), limit);
+  if (!entries) return Failed(call, entries.Failure());
+  if (call.Json()) {
+    ordered_json list = ordered_json::array();
+    for (const audit_entry& each : *entries) list.push_back(ToJson(each));
+    PrintJson(call, {{"entries", std::move(list)}});
+    return 0;
+  }
+  for (const audit_entry& each : *entries) PrintEntry(*call.world.out, each);
+  return 0;
+}
+
+}  // namespace
+
+std::vector<base::command> StatusCommands(const command_world& world) {
+  const auto run = [world](const command_spec& spec, command_body body) {
+    return [world, spec,
+            body = std::move(body)](std::span<const std::string> arguments) {
+      return RunWithSettings(world, spec, arguments, body);
+    };
+  };
+  const base::setting limit = {.name = "limit",
+                               .kind = base::setting_kind::kNumber,
+                               .default_text = "50",
+                               .help = "entries to print at most, the latest",
+                               .least = 1,
+                               .most = 100'000};
+  return {
+      {.name = "status",
+       .summary = "tell which version is in force where and who lags",
+       .run = run({.program = "fireflyspar status",
+                   .summary = "Tells which version is in force where and which "
+                              "nodes lag, as the platform has it or, with "
+                              "--node-address, as that node sees it.",
+                   .needed = needs::kPlatformOrNode},
+                  Status)},
+      {.name = "drain",
+       .summary = "make a node and its backend server leave",
+       .run = run({.program = "fireflyspar drain",
+                   .summary = "Makes the node take no new work for the backend "
+                              "server beside it and finish what runs.",
+                   .needed = needs::kNode},
+                  Drain)},
+      {.name = "audit",
+       .summary = "print the audit trail of changes",
+       .run = run({.program = "fireflyspar audit",
+                   .summary = "Prints who changed what, when, and what came of "
+                              "it, the latest last.",
+                   .own = {limit}},
+                  Audit)},
+  };
+}
+
+}  // namespace fireflyspar::operators
