--- a/src/app/commands.cc
+++ b/src/app/commands.cc
@@ -2,7 +2,14 @@
 
 #include <iostream>
 
-#include "app/node.h"
+  std::vector<command> commands = operators::OperatorCommands();
+  commands.insert(commands.begin(),
+                  {.name = "node",
+                   .summary = "run the node beside a backend server",
+                   .run = RunNode});
+  commands.push_back(
+      {.name = "version", .summary = "print the version", .run = PrintVersion});
+  return commands;
 
 namespace fireflyspar::app {
 namespace {
@@ -17,12 +24,19 @@
 }  // namespace
 
 std::vector<command> Commands() {
+<<<<<<< HEAD
   return {
       {.name = "node",
        .summary = "run the node beside a backend server",
        .run = RunNode},
       {.name = "version", .summary = "print the version", .run = PrintVersion},
   };
+=======
+  std::vector<command> commands = operators::OperatorCommands();
+  commands.push_back(
+      {.name = "version", .summary = "print the version", .run = PrintVersion});
+  return commands;
+>>>>>>> config
 }
 
 }  // namespace fireflyspar::app
