--- a/lab/commands.cc
+++ b/lab/commands.cc
@@ -8,7 +8,7 @@
 
 namespace fireflyspar::lab {
 
-std::vector<app::command> Commands() {
+std::vector<base::command> Commands() {
   return {
       {.name = "backend-server",
        .summary = "run a stand-in backend server",
--- a/lab/commands.h
+++ b/lab/commands.h
@@ -5,11 +5,11 @@
 
 #include <vector>
 
-#include "app/command.h"
+#include "base/command.h"
 
 namespace fireflyspar::lab {
 
-std::vector<app::command> Commands();
+std::vector<base::command> Commands();
 
 }  // namespace fireflyspar::lab
 
--- a/lab/demo.cc
+++ b/lab/demo.cc
@@ -112,17 +112,18 @@
     if (!fleet.AddInstance(next)) return -1;
   }
   std::string output;
-  const int started = fleet.Command(
-      {"move", "start", "--service", next.service, "--from", "v1", "--to",
-       next.version, "--in-s", std::to_string(length.count()), "--json"},
-      &output);
+  const int started =
+      fleet.Command({"move", "start", "--service", next.service, "--from", "v1",
+                     "--to", next.version, "--by",
+                     "+" + std::to_string(length.count()) + "s", "--json"},
+                    &output);
   std::cout << output;
   if (started != 0) return started;
   const auto parsed = nlohmann::json::parse(output, nullptr, false);
-  if (!parsed.is_object() || !parsed.contains("id")) return -1;
+  if (!parsed.is_object() || !parsed.contains("move")) return -1;
   auto load = StartLoad(fleet, path, length + seconds{5});
-  const int ended =
-      fleet.Command({"move", "wait", parsed["id"].get<std::string>()}, &output);
+  const int ended = fleet.Command(
+      {"move", "wait", parsed["move"].get<std::string>()}, &output);
   std::cout << output;
   for (auto& each : load) std::cout << each.get().ToJson().dump() << '\n';
   return ended;
--- a/lab/experiments.cc
+++ b/lab/experiments.cc
@@ -4,7 +4,7 @@
 
 namespace fireflyspar::lab {
 
-std::vector<app::command> Experiments() {
+std::vector<base::command> Experiments() {
   return {
       {.name = "moves-decisions",
        .summary = "good and bad versions judged in virtual time",
@@ -13,8 +13,8 @@
 }
 
 int RunExperiment(std::span<const std::string> arguments) {
-  return app::RunCommand("fireflyspar-lab experiment", Experiments(),
-                         arguments);
+  return base::RunCommand("fireflyspar-lab experiment", Experiments(),
+                          arguments);
 }
 
 }  // namespace fireflyspar::lab
--- a/lab/experiments.h
+++ b/lab/experiments.h
@@ -8,11 +8,11 @@
 #include <string>
 #include <vector>
 
-#include "app/command.h"
+#include "base/command.h"
 
 namespace fireflyspar::lab {
 
-std::vector<app::command> Experiments();
+std::vector<base::command> Experiments();
 
 // Runs the experiment that the first argument names.
 int RunExperiment(std::span<const std::string> arguments);
--- a/lab/main.cc
+++ b/lab/main.cc
@@ -6,5 +6,5 @@
 int main(int argc, char** argv) {
   const std::vector<std::string> arguments(argv + 1, argv + argc);
   const auto commands = fireflyspar::lab::Commands();
-  return fireflyspar::app::RunCommand("fireflyspar-lab", commands, arguments);
+  return fireflyspar::base::RunCommand("fireflyspar-lab", commands, arguments);
 }
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -4,11 +4,11 @@
 
 #include <vector>
 
-#include "app/command.h"
+#include "base/command.h"
 
 namespace fireflyspar::app {
 
-std::vector<command> Commands();
+std::vector<base::command> Commands();
 
 }  // namespace fireflyspar::app
 
--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -163,6 +163,7 @@
       .write_ready =
           [this](const std::string& move_id) { platform_.WriteReady(move_id); },
   };
+  return made;
 }
 
 operators::endpoint_options node::state::EndpointOptions() {
