Join the node and the operators in the list of subcommands

A merge had left both sides' lines and its marks in the file, so that it did not compile; both now stand in it.

--- a/src/app/commands.cc
+++ b/src/app/commands.cc
@@ -2,14 +2,8 @@
 
 #include <iostream>
 
-  std::vector<command> commands = operators::OperatorCommands();
-  commands.insert(commands.begin(),
-                  {.name = "node",
-                   .summary = "run the node beside a backend server",
-                   .run = RunNode});
-  commands.push_back(
-      {.name = "version", .summary = "print the version", .run = PrintVersion});
-  return commands;
+#include "app/node.h"
+#include "operators/commands.h"
 
 namespace fireflyspar::app {
 namespace {
@@ -24,19 +18,14 @@
 }  // namespace
 
 std::vector<command> Commands() {
-<<<<<<< HEAD
-  return {
-      {.name = "node",
-       .summary = "run the node beside a backend server",
-       .run = RunNode},
-      {.name = "version", .summary = "print the version", .run = PrintVersion},
-  };
-=======
   std::vector<command> commands = operators::OperatorCommands();
+  commands.insert(commands.begin(),
+                  {.name = "node",
+                   .summary = "run the node beside a backend server",
+                   .run = RunNode});
   commands.push_back(
       {.name = "version", .summary = "print the version", .run = PrintVersion});
   return commands;
->>>>>>> config
 }
 
 }  // namespace fireflyspar::app
