--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -18,9 +18,10 @@
     return()
   endif()
   add_executable(${name}_test main.cc ${sources})
-  target_link_libraries(${name}_test PRIVATE ${ARGN} Catch2::Catch2)
+  target_link_libraries(${name}_test PRIVATE ${ARGN} Catch2::Catch2 rapidcheck)
   target_compile_definitions(${name}_test PRIVATE
     FIREFLYSPAR_SOURCE_DIR="${PROJECT_SOURCE_DIR}" FIREFLYSPAR_BINARY_DIR="${PROJECT_BINARY_DIR}")
   add_test(NAME ${name} COMMAND ${name}_test)
-  set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300
+    ENVIRONMENT RC_PARAMS=seed=20)  # rapidcheck: the same cases in each run
 endfunction()
--- a/lab/backend_server.cc
+++ b/lab/backend_server.cc
@@ -38,8 +38,8 @@
 
 bool Draw(int percent) {
   thread_local std::mt19937 engine(std::random_device{}());
-  return percent > 0 && std::uniform_int_distribution(0, kHundred - 1)(
-                            engine) < percent;
+  return percent > 0 &&
+         std::uniform_int_distribution(0, kHundred - 1)(engine) < percent;
 }
 
 // Sends the announcement and waits for the answer; a node that is away is tried
@@ -148,12 +148,11 @@
                              : IsCold() ? server_state::kStarting
                                         : server_state::kServing;
   AnnounceOnce(options_.node_address,
-               backend_servers::ToText(
-                   {.server_address = bound_,
-                    .server = {.service = options_.service,
-                               .version = options_.version,
-                               .slots = options_.slots,
-                               .state = phase}}));
+               backend_servers::ToText({.server_address = bound_,
+                                        .server = {.service = options_.service,
+                                                   .version = options_.version,
+                                                   .slots = options_.slots,
+                                                   .state = phase}}));
 }
 
 void backend_server::state::AnnounceAgainAndAgain() {
@@ -185,8 +184,7 @@
 bool backend_server::state::IsBad(const http_request& request,
                                   int running) const {
   const std::string_view target = backend_servers::ToView(request.target());
-  return target.starts_with(options_.bad_path) &&
-         Age() >= options_.bad_after &&
+  return target.starts_with(options_.bad_path) && Age() >= options_.bad_after &&
          (options_.bad_above == 0 || running > options_.bad_above);
 }
 
@@ -194,10 +192,11 @@
   const run_counts runs = Runs();
   http_response answer(http::status::ok, 11);
   answer.set(http::field::content_type, "application/json");
-  answer.body() = nlohmann::json{{"name", options_.name},
-                                 {"total", runs.total},
-                                 {"repeated", runs.repeated}}
-                      .dump();
+  answer.body() = nlohmann::json{
+      {"name", options_.name},
+      {"total", runs.total},
+      {"repeated",
+       runs.repeated}}.dump();
   answer.prepare_payload();
   return answer;
 }
@@ -216,21 +215,21 @@
       fails ? http::status::internal_server_error : http::status::ok, 11);
   answer.set(http::field::content_type, "application/json");
   answer.set(backend_servers::kRequestIdHeader, id);
-  answer.body() =
-      nlohmann::json{
-          {"server", options_.name},
-          {"service", options_.service},
-          {"version", options_.version},
-          {"request_id", id},
-          {"target", std::string(request.target())},
-          {"body_bytes", request.body().size()},
-          {"deadline_ms", std::string(backend_servers::HeaderOf(
-                              request, backend_servers::kDeadlineHeader))},
-          {"attempt", std::string(backend_servers::HeaderOf(
-                          request, backend_servers::kAttemptHeader))},
-          {"padding",
-           std::string(static_cast<std::size_t>(options_.body_bytes), 'x')}}
-          .dump();
+  answer.body() = nlohmann::json{
+      {"server", options_.name},
+      {"service", options_.service},
+      {"version", options_.version},
+      {"request_id", id},
+      {"target", std::string(request.target())},
+      {"body_bytes", request.body().size()},
+      {"deadline_ms", std::string(backend_servers::HeaderOf(
+                          request, backend_servers::kDeadlineHeader))},
+      {"attempt", std::string(backend_servers::HeaderOf(
+                      request, backend_servers::kAttemptHeader))},
+      {"padding",
+       std::string(
+           static_cast<std::size_t>(options_.body_bytes),
+           'x')}}.dump();
   answer.prepare_payload();
   return answer;
 }
--- a/lab/backend_server.h
+++ b/lab/backend_server.h
@@ -28,11 +28,11 @@
   int body_bytes = 0;                 // Added to each answer.
   std::chrono::milliseconds cold{0};  // Announced as starting this long.
   int cold_factor = 1;                // On the work while cold.
-  int shed_above = 0;     // Refuses requests over this many; 0: never.
-  int fail_percent = 0;   // Answered with 500 after running.
-  int cut_percent = 0;    // Answers cut short after running.
-  int hang_percent = 0;   // Never answered after running.
-  std::string bad_path;   // Only paths that begin so are bad; empty: all.
+  int shed_above = 0;    // Refuses requests over this many; 0: never.
+  int fail_percent = 0;  // Answered with 500 after running.
+  int cut_percent = 0;   // Answers cut short after running.
+  int hang_percent = 0;  // Never answered after running.
+  std::string bad_path;  // Only paths that begin so are bad; empty: all.
   std::chrono::milliseconds slow{0};       // Added to bad requests.
   std::chrono::milliseconds bad_after{0};  // Since the start.
   int bad_above = 0;  // Bad only with more than this many running.
--- a/lab/load.cc
+++ b/lab/load.cc
@@ -57,14 +57,16 @@
     auto token = net::redirect_error(net::use_awaitable, ignored);
     const auto begun = steady_clock::now();
     const auto total = static_cast<std::int64_t>(
-        options_.rate * std::chrono::duration<double>(options_.duration).count());
+        options_.rate *
+        std::chrono::duration<double>(options_.duration).count());
     net::steady_timer timer(loop_);
     for (std::int64_t call = 0; call < total; ++call) {
       const auto offset = std::chrono::duration_cast<steady_clock::duration>(
           std::chrono::duration<double>(static_cast<double>(call) /
                                         options_.rate));
       timer.expires_at(begun + offset);
-      if (steady_clock::now() < begun + offset) co_await timer.async_wait(token);
+      if (steady_clock::now() < begun + offset)
+        co_await timer.async_wait(token);
       due_.push_back(begun + offset);
       wake_.cancel_one();
     }
@@ -100,8 +102,8 @@
       }
     }
     // The server echoes the target, which tells whose answer it is.
-    const std::string target = options_.path + "?call=" +
-                               std::to_string(result_.sent);
+    const std::string target =
+        options_.path + "?call=" + std::to_string(result_.sent);
     http_request request = MakeRequest(target);
     http::response_parser<http::string_body> parser;
     parser.body_limit(backend_servers::kMaxResponseBytes);
@@ -157,19 +159,38 @@
 std::vector<base::setting> Table() {
   using enum base::setting_kind;
   return {
-      {.name = "target", .kind = kAddress, .help = "call this address",
+      {.name = "target",
+       .kind = kAddress,
+       .help = "call this address",
        .required = true},
-      {.name = "rate", .kind = kNumber, .default_text = "100",
-       .help = "calls a second", .least = 1, .most = 100000},
-      {.name = "seconds", .kind = kNumber, .default_text = "5",
-       .help = "seconds of load", .least = 1, .most = 3600},
+      {.name = "rate",
+       .kind = kNumber,
+       .default_text = "100",
+       .help = "calls a second",
+       .least = 1,
+       .most = 100000},
+      {.name = "seconds",
+       .kind = kNumber,
+       .default_text = "5",
+       .help = "seconds of load",
+       .least = 1,
+       .most = 3600},
       {.name = "method", .default_text = "GET", .help = "HTTP method"},
       {.name = "path", .default_text = "/", .help = "path to call"},
-      {.name = "connections", .kind = kNumber, .default_text = "4",
-       .help = "connections", .least = 1, .most = 1000},
-      {.name = "body-bytes", .kind = kNumber, .default_text = "0",
-       .help = "body of each request", .most = 1000000},
-      {.name = "idempotency-keys", .kind = kSwitch, .default_text = "false",
+      {.name = "connections",
+       .kind = kNumber,
+       .default_text = "4",
+       .help = "connections",
+       .least = 1,
+       .most = 1000},
+      {.name = "body-bytes",
+       .kind = kNumber,
+       .default_text = "0",
+       .help = "body of each request",
+       .most = 1000000},
+      {.name = "idempotency-keys",
+       .kind = kSwitch,
+       .default_text = "false",
        .help = "send a fresh Idempotency-Key with each call"},
   };
 }
@@ -193,8 +214,8 @@
     return static_cast<double>(Quantile(quantile).count()) /
            kMicrosecondsPerMillisecond;
   };
-  return {{"sent", sent},       {"status", statuses}, {"cut", cut},
-          {"wrong", wrong},     {"p50_ms", ms(0.5)},  {"p99_ms", ms(0.99)},
+  return {{"sent", sent},         {"status", statuses}, {"cut", cut},
+          {"wrong", wrong},       {"p50_ms", ms(0.5)},  {"p99_ms", ms(0.99)},
           {"p999_ms", ms(0.999)}, {"max_ms", ms(1.0)}};
 }
 
@@ -211,15 +232,15 @@
       arguments);
   if (!line.parsed) return line.exit_code;
   const base::settings& from = *line.parsed;
-  const load_result result = RunLoad(
-      {.target = from.Address("target"),
-       .rate = static_cast<double>(from.Number("rate")),
-       .duration = std::chrono::seconds(from.Number("seconds")),
-       .method = from.Text("method"),
-       .path = from.Text("path"),
-       .connections = static_cast<int>(from.Number("connections")),
-       .body_bytes = static_cast<int>(from.Number("body-bytes")),
-       .idempotency_keys = from.Switch("idempotency-keys")});
+  const load_result result =
+      RunLoad({.target = from.Address("target"),
+               .rate = static_cast<double>(from.Number("rate")),
+               .duration = std::chrono::seconds(from.Number("seconds")),
+               .method = from.Text("method"),
+               .path = from.Text("path"),
+               .connections = static_cast<int>(from.Number("connections")),
+               .body_bytes = static_cast<int>(from.Number("body-bytes")),
+               .idempotency_keys = from.Switch("idempotency-keys")});
   std::cout << result.ToJson().dump() << std::endl;
   return 0;
 }
--- a/lab/load.h
+++ b/lab/load.h
@@ -34,7 +34,8 @@
   std::map<int, std::int64_t> by_status;
   std::int64_t cut = 0;    // Connection refused or broken, or a cut answer.
   std::int64_t wrong = 0;  // An answer that belongs to another call.
-  std::vector<std::chrono::microseconds> latencies;  // Of whole answers, sorted.
+  std::vector<std::chrono::microseconds>
+      latencies;  // Of whole answers, sorted.
 
   std::chrono::microseconds Quantile(double quantile) const;
   nlohmann::json ToJson() const;
--- a/src/backend_servers/announce_listener.cc
+++ b/src/backend_servers/announce_listener.cc
@@ -31,15 +31,14 @@
 }  // namespace
 
 void HandleAnnounce(gate& target, web::http::http_request request) {
-  request.extract_string(true).then(
-      [&target, request](const pplx::task<std::string>& body) {
-        try {
-          Reply(request, Take(target, body.get()));
-        } catch (const std::exception& broken) {
-          Reply(request,
-                base::Fail(base::error_kind::kBadRequest, broken.what()));
-        }
-      });
+  request.extract_string(true).then([&target, request](
+                                        const pplx::task<std::string>& body) {
+    try {
+      Reply(request, Take(target, body.get()));
+    } catch (const std::exception& broken) {
+      Reply(request, base::Fail(base::error_kind::kBadRequest, broken.what()));
+    }
+  });
 }
 
 }  // namespace fireflyspar::backend_servers
--- a/src/backend_servers/announcement.cc
+++ b/src/backend_servers/announcement.cc
@@ -49,8 +49,8 @@
 }
 
 base::result<server_state> ParseState(const std::string& text) {
-  const auto found =
-      std::ranges::find(kStates, text, [](const auto& row) { return row.first; });
+  const auto found = std::ranges::find(
+      kStates, text, [](const auto& row) { return row.first; });
   if (found == kStates.end()) {
     return Bad("'state' is '" + text +
                "', expected starting, serving or draining");
@@ -62,9 +62,9 @@
 
 base::result<announcement> ParseAnnouncement(std::string_view text) {
   if (text.size() > kMaxAnnouncementBytes) {
-    return base::Fail(base::error_kind::kTooLarge,
-                      std::to_string(text.size()) +
-                          " bytes, expected at most 4096");
+    return base::Fail(
+        base::error_kind::kTooLarge,
+        std::to_string(text.size()) + " bytes, expected at most 4096");
   }
   const json object = json::parse(text, nullptr, false);
   if (!object.is_object()) return Bad("expected a JSON object");
@@ -90,9 +90,8 @@
 }
 
 std::string ToText(const announcement& value) {
-  const auto state =
-      std::ranges::find(kStates, value.server.state,
-                        [](const auto& row) { return row.second; });
+  const auto state = std::ranges::find(
+      kStates, value.server.state, [](const auto& row) { return row.second; });
   const json object = {
       {"service", value.server.service},
       {"version", value.server.version},
--- a/src/backend_servers/connection_pool.cc
+++ b/src/backend_servers/connection_pool.cc
@@ -46,8 +46,8 @@
                            std::unique_ptr<connection> idle) {
   std::vector<idle_connection>& held = idle_[to];
   if (held.size() >= kMaxIdlePerAddress) return;
-  held.push_back({.held = std::move(idle),
-                  .since = std::chrono::steady_clock::now()});
+  held.push_back(
+      {.held = std::move(idle), .since = std::chrono::steady_clock::now()});
 }
 
 }  // namespace fireflyspar::backend_servers
--- a/src/backend_servers/exchange.cc
+++ b/src/backend_servers/exchange.cc
@@ -122,9 +122,8 @@
     result = Failed(cancel, error, true);
     co_return result;
   }
-  if (options.check_exchange_id &&
-      HeaderOf(result.answer, kExchangeHeader) !=
-          HeaderOf(request, kExchangeHeader)) {
+  if (options.check_exchange_id && HeaderOf(result.answer, kExchangeHeader) !=
+                                       HeaderOf(request, kExchangeHeader)) {
     result.sent = true;
     result.detail = "the answer belongs to another request";
     co_return result;
--- a/src/backend_servers/gate.cc
+++ b/src/backend_servers/gate.cc
@@ -42,10 +42,9 @@
     return base::Fail(error_kind::kBadRequest, "the version is empty");
   }
   if (heard.server.slots < 1 || heard.server.slots > kMaxSlots) {
-    return base::Fail(
-        error_kind::kBadRequest,
-        "slots = " + std::to_string(heard.server.slots) +
-            ", expected from 1 to " + std::to_string(kMaxSlots));
+    return base::Fail(error_kind::kBadRequest,
+                      "slots = " + std::to_string(heard.server.slots) +
+                          ", expected from 1 to " + std::to_string(kMaxSlots));
   }
   return base::nothing{};
 }
--- a/src/backend_servers/http.cc
+++ b/src/backend_servers/http.cc
@@ -12,9 +12,15 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kConnectionHeaders = {
-    "Connection",       "Keep-Alive",          "Proxy-Connection",
-    "Proxy-Authenticate", "Proxy-Authorization", "TE",
-    "Trailer",          "Transfer-Encoding",   "Upgrade"};
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade"};
 
 bool StartsWithIgnoringCase(std::string_view text, std::string_view prefix) {
   return text.size() >= prefix.size() &&
@@ -30,8 +36,7 @@
   return ToView(message[ToBeast(name)]);
 }
 
-std::string_view HeaderOf(const http_response& message,
-                          std::string_view name) {
+std::string_view HeaderOf(const http_response& message, std::string_view name) {
   return ToView(message[ToBeast(name)]);
 }
 
--- a/src/backend_servers/local_server.cc
+++ b/src/backend_servers/local_server.cc
@@ -126,12 +126,9 @@
   return {.is_refusal = true, .refusal = refusal, .detail = std::move(detail)};
 }
 
-net::awaitable<gate_answer> RunAtLocalServer(gate& through,
-                                             const base::clock_hook& clock,
-                                             connection_pool& pool,
-                                             const local_call& call,
-                                             http_request& request,
-                                             cancellation& cancel) {
+net::awaitable<gate_answer> RunAtLocalServer(
+    gate& through, const base::clock_hook& clock, connection_pool& pool,
+    const local_call& call, http_request& request, cancellation& cancel) {
   gate::state& state = through.State();
   const announcement local = state.Local();
   gate_answer result;
@@ -152,15 +149,14 @@
   const base::instant begun = clock();
   const milliseconds left = TimeLeft(call.deadline, begun);
   request.set(kDeadlineHeader, std::to_string(left.count()));
-  exchange_options options{
-      .to = local.server_address,
-      .deadline = std::chrono::steady_clock::now() + left};
+  exchange_options options{.to = local.server_address,
+                           .deadline = std::chrono::steady_clock::now() + left};
   options.may_send = [&] { return clock() < call.deadline; };
   exchange_result ended = co_await Exchange(pool, options, request, cancel);
   result = FromExchange(std::move(ended));
-  pass.EndWith({.shed = result.is_refusal &&
-                        result.refusal == error_kind::kShed,
-                .duration = clock() - begun});
+  pass.EndWith(
+      {.shed = result.is_refusal && result.refusal == error_kind::kShed,
+       .duration = clock() - begun});
   result.busy = state.Busy() - 1;
   co_return result;
 }
@@ -169,8 +165,7 @@
   http_response message;
   if (answer.is_refusal) {
     message = MakeRefusal(answer.refusal, answer.detail);
-    message.set(kRefusalHeader,
-                ToBeast(base::AnswerFor(answer.refusal).name));
+    message.set(kRefusalHeader, ToBeast(base::AnswerFor(answer.refusal).name));
     message.set(kRunHeader, ToBeast(base::ToText(answer.run)));
   } else {
     message = std::move(answer.answer);
@@ -186,10 +181,10 @@
   if (!refusal.empty()) {
     answer.is_refusal = true;
     answer.refusal = KindNamed(refusal);
-    answer.run = HeaderOf(message, kRunHeader) ==
-                         base::ToText(run_state::kNotRun)
-                     ? run_state::kNotRun
-                     : run_state::kUnknown;
+    answer.run =
+        HeaderOf(message, kRunHeader) == base::ToText(run_state::kNotRun)
+            ? run_state::kNotRun
+            : run_state::kUnknown;
     answer.detail = "refused by the gate";
   }
   const std::string_view busy = HeaderOf(message, kBusyHeader);
--- a/src/backend_servers/local_server.h
+++ b/src/backend_servers/local_server.h
@@ -36,12 +36,9 @@
 };
 
 // `request` goes to the server as it is, with the deadline that is left then.
-net::awaitable<gate_answer> RunAtLocalServer(gate& through,
-                                             const base::clock_hook& clock,
-                                             connection_pool& pool,
-                                             const local_call& call,
-                                             http_request& request,
-                                             cancellation& cancel);
+net::awaitable<gate_answer> RunAtLocalServer(
+    gate& through, const base::clock_hook& clock, connection_pool& pool,
+    const local_call& call, http_request& request, cancellation& cancel);
 
 // The gate's answer as a message to another node, and back.
 http_response ToMessage(gate_answer answer);
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -1,5 +1,7 @@
 #include "base/log.h"
 
+#define ELPP_THREAD_SAFE
+#define ELPP_NO_DEFAULT_LOG_FILE
 #include <easylogging++.h>
 
 #include <algorithm>
--- a/src/callers/dispatch.cc
+++ b/src/callers/dispatch.cc
@@ -82,9 +82,9 @@
 
 dispatcher::choice dispatcher::ChooseServer(
     const routed_call& call, const std::vector<std::string>& tried) {
-  const auto share = options_.moved_share ? options_.moved_share
-                                          : decisions::moved_share_hook(
-                                                DefaultMovedShare);
+  const auto share = options_.moved_share
+                         ? options_.moved_share
+                         : decisions::moved_share_hook(DefaultMovedShare);
   const decisions::fleet_view& view = *call.view;
   choice target;
   const double unit = base::Unit(options_.random());
@@ -110,9 +110,8 @@
       RefusedByGate(error_kind::kNoServer, "no backend server is usable");
   std::vector<std::string> tried;
   traffic_.OnFirstTry(call.service->name);
-  const int most = call.may_retry
-                       ? std::max(1, call.service->retries.max_attempts)
-                       : 1;
+  const int most =
+      call.may_retry ? std::max(1, call.service->retries.max_attempts) : 1;
   for (int attempt = 0; attempt < most; ++attempt) {
     const bool is_retry = attempt > 0;
     if (is_retry && !IsSafeToRetry(call, answer)) break;
@@ -131,8 +130,7 @@
 }
 
 net::awaitable<gate_answer> dispatcher::Try(routed_call& call,
-                                            const choice& target,
-                                            int attempt) {
+                                            const choice& target, int attempt) {
   const base::instant begun = options_.clock();
   call.request.set(backend_servers::kRequestIdHeader, call.request_id);
   if (attempt > 0 || !call.may_retry) {
@@ -155,9 +153,9 @@
 
 net::awaitable<gate_answer> dispatcher::SendToGate(routed_call& call,
                                                    const choice& target) {
-  const auto left = std::max(milliseconds(0),
-                             std::chrono::duration_cast<milliseconds>(
-                                 call.deadline - options_.clock()));
+  const auto left =
+      std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(
+                                    call.deadline - options_.clock()));
   auto& request = call.request;
   request.set(backend_servers::kServiceHeader, call.service->name);
   request.set(backend_servers::kVersionHeader, target.version);
--- a/src/callers/dispatch.h
+++ b/src/callers/dispatch.h
@@ -48,8 +48,8 @@
   net::awaitable<backend_servers::gate_answer> Try(routed_call& call,
                                                    const choice& target,
                                                    int attempt);
-  net::awaitable<backend_servers::gate_answer> SendToGate(
-      routed_call& call, const choice& target);
+  net::awaitable<backend_servers::gate_answer> SendToGate(routed_call& call,
+                                                          const choice& target);
   void Record(const routed_call& call, const choice& target,
               const backend_servers::gate_answer& answer,
               base::duration latency);
--- a/src/callers/http_listener.cc
+++ b/src/callers/http_listener.cc
@@ -46,14 +46,13 @@
                    const std::shared_ptr<cancellation>& cancel) {
   auto& socket = client.stream.socket();
   const int handle = socket.native_handle();
-  socket.async_wait(tcp::socket::wait_read,
-                    [cancel, handle](const error_code& error) {
-                      if (error) return;
-                      char byte = 0;
-                      const ssize_t got = ::recv(handle, &byte, 1,
-                                                 MSG_PEEK | MSG_DONTWAIT);
-                      if (got <= 0) cancel->Cancel();
-                    });
+  socket.async_wait(
+      tcp::socket::wait_read, [cancel, handle](const error_code& error) {
+        if (error) return;
+        char byte = 0;
+        const ssize_t got = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (got <= 0) cancel->Cancel();
+      });
 }
 
 void StopWatching(connection& client) {
@@ -188,18 +187,16 @@
     return static_cast<bool>(error);
   };
   const bool failed =
-      fails([&] { acceptor_->open(endpoint.protocol(), error); }) ||
-      fails([&] {
+      fails([&] { acceptor_->open(endpoint.protocol(), error); }) || fails([&] {
         acceptor_->set_option(tcp::acceptor::reuse_address(true), error);
       }) ||
-      fails([&] { acceptor_->bind(endpoint, error); }) ||
-      fails([&] {
+      fails([&] { acceptor_->bind(endpoint, error); }) || fails([&] {
         acceptor_->listen(net::socket_base::max_listen_connections, error);
       });
   if (failed) {
-    return base::Fail(error_kind::kBadSettings, "can't listen on " +
-                                                    wanted.ToText() + ": " +
-                                                    error.message());
+    return base::Fail(
+        error_kind::kBadSettings,
+        "can't listen on " + wanted.ToText() + ": " + error.message());
   }
   bound_ = backend_servers::ToAddress(acceptor_->local_endpoint(error));
   net::co_spawn(workers_.At(0).loop, Accept(), net::detached);
@@ -230,9 +227,9 @@
   }
 }
 
-net::awaitable<void> http_listener::Serve(
-    std::shared_ptr<shared_state> shared, worker& home,
-    std::unique_ptr<connection> client) {
+net::awaitable<void> http_listener::Serve(std::shared_ptr<shared_state> shared,
+                                          worker& home,
+                                          std::unique_ptr<connection> client) {
   const scoped_count open(shared->connections);
   const http_listener_options& options = shared->options;
   error_code ignored;
--- a/src/callers/http_listener.h
+++ b/src/callers/http_listener.h
@@ -24,8 +24,9 @@
 };
 
 // Runs on the worker that has the connection.
-using request_handler = std::function<
-    net::awaitable<backend_servers::http_response>(incoming& call)>;
+using request_handler =
+    std::function<net::awaitable<backend_servers::http_response>(
+        incoming& call)>;
 
 struct http_listener_options {
   base::address address;
--- a/src/callers/router.cc
+++ b/src/callers/router.cc
@@ -152,17 +152,17 @@
   const bool below_retry =
       listener == visibility::kInside &&
       !HeaderOf(request, backend_servers::kAttemptHeader).empty();
-  routed_call routed{
-      .view = view,
-      .service = service,
-      .route = route->name,
-      .at_most_once = route->at_most_once,
-      .may_retry = !below_retry,
-      .deadline = options_.clock() + std::min(allowed, asked->value_or(allowed)),
-      .request_id = NewRequestId(options_.random),
-      .request = Clean(std::move(call.request), listener),
-      .home = call.home,
-      .cancel = call.cancel};
+  routed_call routed{.view = view,
+                     .service = service,
+                     .route = route->name,
+                     .at_most_once = route->at_most_once,
+                     .may_retry = !below_retry,
+                     .deadline = options_.clock() +
+                                 std::min(allowed, asked->value_or(allowed)),
+                     .request_id = NewRequestId(options_.random),
+                     .request = Clean(std::move(call.request), listener),
+                     .home = call.home,
+                     .cancel = call.cancel};
   gate_answer ended = co_await dispatcher_.Dispatch(routed);
   traffic_.LeaveCaller(service->name, caller);
   answer = ToCaller(std::move(ended));
@@ -181,10 +181,10 @@
     co_return answer;
   }
   const backend_servers::local_call local{
-      .service = std::string(
-          HeaderOf(request, backend_servers::kServiceHeader)),
-      .version = std::string(
-          HeaderOf(request, backend_servers::kVersionHeader)),
+      .service =
+          std::string(HeaderOf(request, backend_servers::kServiceHeader)),
+      .version =
+          std::string(HeaderOf(request, backend_servers::kVersionHeader)),
       .deadline = options_.clock() + **left};
   request.erase(backend_servers::kServiceHeader);
   request.erase(backend_servers::kVersionHeader);
--- a/src/callers/traffic.cc
+++ b/src/callers/traffic.cc
@@ -52,8 +52,7 @@
   return callers_[service].Enter(caller, most);
 }
 
-void traffic::LeaveCaller(const std::string& service,
-                          std::string_view caller) {
+void traffic::LeaveCaller(const std::string& service, std::string_view caller) {
   const std::lock_guard lock(limits_mutex_);
   callers_[service].Leave(caller);
 }
--- a/src/decisions/admission.cc
+++ b/src/decisions/admission.cc
@@ -72,8 +72,8 @@
     ++in_flight_;
     return kRunNow;
   }
-  const auto longest = static_cast<std::size_t>(
-      std::ceil(options_.queued_per_slot * slots_));
+  const auto longest =
+      static_cast<std::size_t>(std::ceil(options_.queued_per_slot * slots_));
   if (queue_.size() >= longest) return Refuse(base::error_kind::kShed);
   if (now + ExpectedWait(now) + typical_ > deadline) {
     return Refuse(base::error_kind::kShed);
@@ -88,8 +88,8 @@
   if (ending.shed) {
     // One cut for each typical time: the sheds of one burst are one sign.
     if (now - last_shed_ > typical_) {
-      limit_ = std::max(1.0, std::min(limit_, in_flight_ + 1.0) *
-                                 options_.decrease);
+      limit_ =
+          std::max(1.0, std::min(limit_, in_flight_ + 1.0) * options_.decrease);
       last_shed_ = now;
     }
   } else {
@@ -124,9 +124,8 @@
   }
   std::erase_if(queue_, [&](const waiter& each) {
     if (now < each.deadline) return false;
-    turns.push_back(
-        {.ticket = each.ticket,
-         .verdict = Refuse(base::error_kind::kDeadlinePassed)});
+    turns.push_back({.ticket = each.ticket,
+                     .verdict = Refuse(base::error_kind::kDeadlinePassed)});
     return true;
   });
   while (!queue_.empty() && in_flight_ < Limit(now)) {
--- a/src/decisions/admission.h
+++ b/src/decisions/admission.h
@@ -18,8 +18,9 @@
 
 struct admission_options {
   double queued_per_slot = 1;  // Length of the queue, relative to the slots.
-  base::duration cold_start = std::chrono::seconds(10);  // From one slot to all.
-  double decrease = 0.7;  // Factor on the limit at a shed.
+  base::duration cold_start =
+      std::chrono::seconds(10);  // From one slot to all.
+  double decrease = 0.7;         // Factor on the limit at a shed.
   double increase = 0.2;  // Slots regained by a whole limit of good answers.
 };
 
@@ -38,7 +39,7 @@
 
 // How a request that ran ended.
 struct admission_ending {
-  bool shed = false;            // The server refused it as overload.
+  bool shed = false;          // The server refused it as overload.
   base::duration duration{};  // At the server; ignored for a shed.
 };
 
@@ -89,7 +90,7 @@
   bool draining_ = false;
   int slots_ = 0;
   double limit_ = 0;
-  base::instant started_;      // When the server was first heard as starting.
+  base::instant started_;  // When the server was first heard as starting.
   base::instant last_shed_;
   base::duration typical_{0};  // Smoothed time at the server.
   int in_flight_ = 0;
--- a/src/decisions/balancer.cc
+++ b/src/decisions/balancer.cc
@@ -41,17 +41,15 @@
   const server* known = Find(which.id);
   if (known == nullptr) return 0;
   const bool fresh = now - known->gate_told < options_.gate_word_life;
-  const int busy =
-      std::max(known->in_flight, fresh ? known->gate_busy : 0);
+  const int busy = std::max(known->in_flight, fresh ? known->gate_busy : 0);
   const double slots = std::max(1, which.slots);
   const double full = now < known->shed_until ? 1 : 0;
   return (busy + 1) / slots * std::max(known->latency, 1.0) + full * 1e12;
 }
 
 std::optional<std::size_t> balancer::Choose(
-    std::span<const candidate> candidates,
-    std::span<const std::string> avoided, const base::random_hook& random,
-    base::instant now) {
+    std::span<const candidate> candidates, std::span<const std::string> avoided,
+    const base::random_hook& random, base::instant now) {
   if (candidates.empty()) return std::nullopt;
   const auto is_avoided = [&](std::size_t index) {
     return std::ranges::find(avoided, candidates[index].id) != avoided.end();
@@ -64,16 +62,14 @@
     const server* known = Find(candidates[index].id);
     if (known == nullptr) return true;
     const bool fresh = now - known->gate_told < options_.gate_word_life;
-    const int busy =
-        std::max(known->in_flight, fresh ? known->gate_busy : 0);
+    const int busy = std::max(known->in_flight, fresh ? known->gate_busy : 0);
     return now >= known->shed_until &&
            busy < kSpillBurden * std::max(1, candidates[index].slots);
   };
 
   std::vector<std::size_t> all(candidates.size());
-  std::ranges::generate(all, [index = std::size_t{0}]() mutable {
-    return index++;
-  });
+  std::ranges::generate(all,
+                        [index = std::size_t{0}]() mutable { return index++; });
   std::vector<std::size_t> pool;
   std::ranges::remove_copy_if(all, std::back_inserter(pool), is_ejected);
   const double kept = options_.least_kept * static_cast<double>(all.size());
@@ -109,8 +105,8 @@
 
 void balancer::Eject(server& failing, base::instant now) const {
   const auto longer = options_.first_ejection * (1 << failing.ejections_in_row);
-  failing.ejected_until = now + std::min<base::duration>(
-                                    longer, options_.longest_ejection);
+  failing.ejected_until =
+      now + std::min<base::duration>(longer, options_.longest_ejection);
   constexpr int kMostDoublings = 10;
   failing.ejections_in_row =
       std::min(failing.ejections_in_row + 1, kMostDoublings);
@@ -125,9 +121,8 @@
   switch (ending) {
     case call_ending::kGood: {
       const auto latest = static_cast<double>(latency.count());
-      used.latency += used.latency == 0
-                          ? latest
-                          : (latest - used.latency) * kSmoothing;
+      used.latency +=
+          used.latency == 0 ? latest : (latest - used.latency) * kSmoothing;
       used.failures_in_row = 0;
       used.ejections_in_row = 0;
       break;
--- a/src/decisions/retry_budget.cc
+++ b/src/decisions/retry_budget.cc
@@ -26,9 +26,7 @@
   return current;
 }
 
-void retry_budget::OnFirstTry(base::instant now) {
-  ++SliceAt(now).first_tries;
-}
+void retry_budget::OnFirstTry(base::instant now) { ++SliceAt(now).first_tries; }
 
 bool retry_budget::TryTake(int percent, base::instant now) {
   slice& current = SliceAt(now);
--- a/tests/callers/small_fleet.cc
+++ b/tests/callers/small_fleet.cc
@@ -1,9 +1,9 @@
 #include "tests/callers/small_fleet.h"
 
-#include <catch2/catch.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
 #include <thread>
 
 namespace fireflyspar::callers {
@@ -26,19 +26,18 @@
           .services = {{.name = "stock",
                         .versions = {{.version = "v1", .percent = 100}},
                         .timeout = milliseconds(10'000)}},
-          .routes = {{.name = "stock",
-                      .path_prefix = "/stock",
-                      .service = "stock",
-                      .seen_from = config::visibility::kOutside},
-                     {.name = "crates",
-                      .path_prefix = "/crates",
-                      .service = "stock"},
-                     {.name = "orders",
-                      .methods = {"POST"},
-                      .path_prefix = "/orders",
-                      .service = "stock",
-                      .seen_from = config::visibility::kOutside,
-                      .at_most_once = true}}};
+          .routes = {
+              {.name = "stock",
+               .path_prefix = "/stock",
+               .service = "stock",
+               .seen_from = config::visibility::kOutside},
+              {.name = "crates", .path_prefix = "/crates", .service = "stock"},
+              {.name = "orders",
+               .methods = {"POST"},
+               .path_prefix = "/orders",
+               .service = "stock",
+               .seen_from = config::visibility::kOutside,
+               .at_most_once = true}}};
 }
 
 small_fleet::small_fleet(std::vector<small_node_options> nodes,
@@ -69,34 +68,34 @@
   starting.server = std::make_unique<lab::backend_server>(server_options);
   REQUIRE(starting.server->Start().Ok());
   starting.metrics = std::make_unique<base::metrics>();
-  starting.gate = std::make_unique<backend_servers::gate>(
-      backend_servers::gate_options{
+  starting.gate =
+      std::make_unique<backend_servers::gate>(backend_servers::gate_options{
           .clock = [this] { return clock(); },
           .metrics = starting.metrics.get(),
-          .on_change = [this, id = options.id](
-                           const decisions::server_record& record) {
-            Edit([&](decisions::fleet_view& view) {
-              for (decisions::member_record& member : view.members) {
-                if (member.node_id == id) member.server = record;
-              }
-            });
-          }});
-  starting.path = std::make_unique<call_path>(call_path_options{
-      .node_id = options.id,
-      .data_centre = options.data_centre,
-      .outside_address = AnyPort(),
-      .inside_address = AnyPort(),
-      .gate_address = AnyPort(),
-      .clock = [this] { return clock(); },
-      .random = base::SystemRandom(),
-      .metrics = starting.metrics.get(),
-      .gate = starting.gate.get(),
-      .view = [this] { return View(); },
-      .on_outcome =
-          [this](const decisions::call_outcome& outcome) {
-            const std::lock_guard lock(mutex_);
-            outcomes_.push_back(outcome);
-          }});
+          .on_change =
+              [this, id = options.id](const decisions::server_record& record) {
+                Edit([&](decisions::fleet_view& view) {
+                  for (decisions::member_record& member : view.members) {
+                    if (member.node_id == id) member.server = record;
+                  }
+                });
+              }});
+  starting.path = std::make_unique<call_path>(
+      call_path_options{.node_id = options.id,
+                        .data_centre = options.data_centre,
+                        .outside_address = AnyPort(),
+                        .inside_address = AnyPort(),
+                        .gate_address = AnyPort(),
+                        .clock = [this] { return clock(); },
+                        .random = base::SystemRandom(),
+                        .metrics = starting.metrics.get(),
+                        .gate = starting.gate.get(),
+                        .view = [this] { return View(); },
+                        .on_outcome =
+                            [this](const decisions::call_outcome& outcome) {
+                              const std::lock_guard lock(mutex_);
+                              outcomes_.push_back(outcome);
+                            }});
   REQUIRE(starting.path->Start().Ok());
   Edit([&](decisions::fleet_view& view) {
     view.members.push_back({.node_id = options.id,
@@ -104,16 +103,15 @@
                             .gate_address = starting.path->Bound().gate});
   });
   const bool elsewhere = options.server_address.port != 0;
-  REQUIRE(starting.gate
-              ->Announce({.server_address = elsewhere
-                                                ? options.server_address
-                                                : starting.server->Address(),
-                          .server = {.service = server_options.service,
-                                     .version = server_options.version,
-                                     .slots = server_options.slots,
-                                     .state =
-                                         decisions::server_state::kServing}})
-              .Ok());
+  REQUIRE(
+      starting.gate
+          ->Announce({.server_address = elsewhere ? options.server_address
+                                                  : starting.server->Address(),
+                      .server = {.service = server_options.service,
+                                 .version = server_options.version,
+                                 .slots = server_options.slots,
+                                 .state = decisions::server_state::kServing}})
+          .Ok());
 }
 
 void small_fleet::Edit(
--- a/tests/callers/small_fleet.h
+++ b/tests/callers/small_fleet.h
@@ -64,8 +64,8 @@
 };
 
 // Sends one request on a connection of its own and gives the whole answer.
-backend_servers::http_response CallOnce(
-    const base::address& to, backend_servers::http_request request);
+backend_servers::http_response CallOnce(const base::address& to,
+                                        backend_servers::http_request request);
 
 backend_servers::http_request Get(const std::string& target);
 backend_servers::http_request Post(const std::string& target,
