Give whole answers only, refuse hostile input, and say 'not run' only when true

Cause found by the new tests: an answer that came in chunks went on without a length, so its caller waited until the connection idled out (60 s); a method unknown to the library broke its connection without an answer; a call whose deadline had passed was told that no server is usable.

--- a/src/backend_servers/exchange.cc
+++ b/src/backend_servers/exchange.cc
@@ -73,6 +73,12 @@
   // An answer that ends where its connection ends can't be told from a cut one.
   if (!to_head && parser->need_eof()) co_return http::error::partial_message;
   answer = parser->release();
+  if (answer.chunked()) {
+    // The chunks have been put together; from here on the length is known.
+    answer.erase(http::field::transfer_encoding);
+    answer.erase(http::field::trailer);
+    if (!to_head) answer.content_length(answer.body().size());
+  }
   co_return error;
 }
 
--- a/src/callers/call_path.cc
+++ b/src/callers/call_path.cc
@@ -61,8 +61,10 @@
  private:
   void Listen(const base::address& address, request_handler handler) {
     listeners_.push_back(std::make_unique<http_listener>(
-        workers_, http_listener_options{.address = address,
-                                        .handler = std::move(handler)}));
+        workers_,
+        http_listener_options{.address = address,
+                              .handler = std::move(handler),
+                              .read_timeout = options_.read_timeout}));
   }
 
   int Active() const {
--- a/src/callers/call_path.h
+++ b/src/callers/call_path.h
@@ -6,6 +6,7 @@
 #ifndef FIREFLYSPAR_CALLERS_CALL_PATH_H_
 #define FIREFLYSPAR_CALLERS_CALL_PATH_H_
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -27,6 +28,10 @@
   base::address inside_address;   // Callers within the mesh.
   base::address gate_address;     // Other nodes' calls for the local server.
   int workers = 2;                // Threads.
+
+  // A request must be whole this long after its first byte.
+  std::chrono::milliseconds read_timeout{10'000};
+
   base::clock_hook clock;
   base::random_hook random;
   base::metrics* metrics = nullptr;
--- a/src/callers/dispatch.cc
+++ b/src/callers/dispatch.cc
@@ -115,7 +115,13 @@
   for (int attempt = 0; attempt < most; ++attempt) {
     const bool is_retry = attempt > 0;
     if (is_retry && !IsSafeToRetry(call, answer)) break;
-    if (options_.clock() >= call.deadline) break;
+    if (options_.clock() >= call.deadline) {
+      if (!is_retry) {
+        answer = RefusedByGate(error_kind::kDeadlinePassed,
+                               "the deadline passed before it was sent");
+      }
+      break;
+    }
     if (is_retry && !traffic_.TryTakeRetry(*call.service)) break;
     const choice target = ChooseServer(call, tried);
     if (target.member == nullptr) break;
--- a/src/callers/http_listener.cc
+++ b/src/callers/http_listener.cc
@@ -96,7 +96,7 @@
 }
 
 // An answer to HEAD, or one with a status that has none, goes without a body.
-void TrimBody(const http_request& request, http_response& response) {
+void TrimBody(bool to_head, http_response& response) {
   const unsigned status = response.result_int();
   const bool never_has_body = status == 204 || status == 304;
   if (never_has_body) {
@@ -104,7 +104,7 @@
     response.erase(http::field::content_length);
     return;
   }
-  if (request.method() == http::verb::head) response.body().clear();
+  if (to_head) response.body().clear();
 }
 
 // Closes so that the last answer still arrives when unread bytes are left: ends
@@ -253,7 +253,7 @@
                   .cancel = std::make_shared<cancellation>()};
     const unsigned version = call.request.version();
     const bool may_stay = call.request.keep_alive();
-    const http::verb method = call.request.method();
+    const bool to_head = call.request.method() == http::verb::head;
     http_response answer;
     auto refusal = RefusalFor(call.request);
     if (refusal) {
@@ -264,8 +264,7 @@
       StopWatching(*client);
     }
     if (call.cancel->IsCancelled()) co_return;
-    call.request.method(method);
-    TrimBody(call.request, answer);
+    TrimBody(to_head, answer);
     answer.version(version);
     const bool stays = may_stay && !refusal && !shared->finishing;
     answer.keep_alive(stays);
--- a/tests/callers/small_fleet.cc
+++ b/tests/callers/small_fleet.cc
@@ -86,6 +86,7 @@
                         .outside_address = AnyPort(),
                         .inside_address = AnyPort(),
                         .gate_address = AnyPort(),
+                        .read_timeout = options.read_timeout,
                         .clock = [this] { return clock(); },
                         .random = base::SystemRandom(),
                         .metrics = starting.metrics.get(),
--- a/tests/callers/small_fleet.h
+++ b/tests/callers/small_fleet.h
@@ -26,6 +26,7 @@
   lab::backend_server_options server{.service = "stock"};
   // Where the gate finds the server; port 0: the server above.
   base::address server_address;
+  std::chrono::milliseconds read_timeout{10'000};
 };
 
 class small_fleet {
