--- a/src/callers/http_listener.cc
+++ b/src/callers/http_listener.cc
@@ -46,14 +46,13 @@
                    const std::shared_ptr<cancellation>& cancel) {
   auto& socket = client.stream.socket();
   const int handle = socket.native_handle();
-  socket.async_wait(tcp::socket::wait_read,
-                    [cancel, handle](const error_code& error) {
-                      if (error) return;
-                      char byte = 0;
-                      const ssize_t got = ::recv(handle, &byte, 1,
-                                                 MSG_PEEK | MSG_DONTWAIT);
-                      if (got <= 0) cancel->Cancel();
-                    });
+  socket.async_wait(
+      tcp::socket::wait_read, [cancel, handle](const error_code& error) {
+        if (error) return;
+        char byte = 0;
+        const ssize_t got = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (got <= 0) cancel->Cancel();
+      });
 }
 
 void StopWatching(connection& client) {
@@ -97,7 +96,7 @@
 }
 
 // An answer to HEAD, or one with a status that has none, goes without a body.
-void TrimBody(const http_request& request, http_response& response) {
+void TrimBody(bool to_head, http_response& response) {
   const unsigned status = response.result_int();
   const bool never_has_body = status == 204 || status == 304;
   if (never_has_body) {
@@ -105,7 +104,7 @@
     response.erase(http::field::content_length);
     return;
   }
-  if (request.method() == http::verb::head) response.body().clear();
+  if (to_head) response.body().clear();
 }
 
 // Closes so that the last answer still arrives when unread bytes are left: ends
@@ -188,18 +187,16 @@
     return static_cast<bool>(error);
   };
   const bool failed =
-      fails([&] { acceptor_->open(endpoint.protocol(), error); }) ||
-      fails([&] {
+      fails([&] { acceptor_->open(endpoint.protocol(), error); }) || fails([&] {
         acceptor_->set_option(tcp::acceptor::reuse_address(true), error);
       }) ||
-      fails([&] { acceptor_->bind(endpoint, error); }) ||
-      fails([&] {
+      fails([&] { acceptor_->bind(endpoint, error); }) || fails([&] {
         acceptor_->listen(net::socket_base::max_listen_connections, error);
       });
   if (failed) {
-    return base::Fail(error_kind::kBadSettings, "can't listen on " +
-                                                    wanted.ToText() + ": " +
-                                                    error.message());
+    return base::Fail(
+        error_kind::kBadSettings,
+        "can't listen on " + wanted.ToText() + ": " + error.message());
   }
   bound_ = backend_servers::ToAddress(acceptor_->local_endpoint(error));
   net::co_spawn(workers_.At(0).loop, Accept(), net::detached);
@@ -230,9 +227,9 @@
   }
 }
 
-net::awaitable<void> http_listener::Serve(
-    std::shared_ptr<shared_state> shared, worker& home,
-    std::unique_ptr<connection> client) {
+net::awaitable<void> http_listener::Serve(std::shared_ptr<shared_state> shared,
+                                          worker& home,
+                                          std::unique_ptr<connection> client) {
   const scoped_count open(shared->connections);
   const http_listener_options& options = shared->options;
   error_code ignored;
@@ -256,7 +253,7 @@
                   .cancel = std::make_shared<cancellation>()};
     const unsigned version = call.request.version();
     const bool may_stay = call.request.keep_alive();
-    const http::verb method = call.request.method();
+    const bool to_head = call.request.method() == http::verb::head;
     http_response answer;
     auto refusal = RefusalFor(call.request);
     if (refusal) {
@@ -267,8 +264,7 @@
       StopWatching(*client);
     }
     if (call.cancel->IsCancelled()) co_return;
-    call.request.method(method);
-    TrimBody(call.request, answer);
+    TrimBody(to_head, answer);
     answer.version(version);
     const bool stays = may_stay && !refusal && !shared->finishing;
     answer.keep_alive(stays);
