--- a/lab/move_experiment_baselines.cc
+++ b/lab/move_experiment_baselines.cc
@@ -14,8 +14,8 @@
 // The ramp of the schedule with nothing to hold it back, then everything once
 // the bake is over.
 double RampShare(const contender_options& options, base::instant now) {
-  return decisions::AllowedShare(options.value, options.policy, kWholeShare,
-                                 now);
+  return decisions::AllowedShare(options.value, options.policy,
+                                 {.cleared_percent = kWholeShare}, now);
 }
 
 base::instant BakedAt(const contender_options& options) {
--- a/lab/move_experiment_fleet.cc
+++ b/lab/move_experiment_fleet.cc
@@ -87,7 +87,7 @@
   void Act(std::size_t node, const decisions::move_effects& effects,
            base::instant now) {
     for (const auto& report : effects.reports_to_send) Broadcast(report, now);
-    for (const move& cleared : effects.cleared) Spread(node, cleared, now);
+    for (const move& update : effects.updates) Spread(node, update, now);
     for (const move& verdict : effects.verdicts) {
       if (!fate_.taken_back_at) fate_.taken_back_at = now;
       Spread(node, verdict, now);
--- a/src/decisions/move.cc
+++ b/src/decisions/move.cc
@@ -28,6 +28,7 @@
   merged.ready_data_centres = std::move(ready);
   merged.cleared_percent =
       std::max(left.cleared_percent, right.cleared_percent);
+  merged.cautious_until = std::max(left.cautious_until, right.cautious_until);
   return merged;
 }
 
--- a/src/decisions/move.h
+++ b/src/decisions/move.h
@@ -42,6 +42,11 @@
   // the greater one.
   int cleared_percent = 0;
 
+  // Until then the new version has at most the share at which the versions are
+  // best compared, since a judge saw it do unusually badly. Merging takes the
+  // later one; what was a false suspicion ends by itself.
+  base::instant cautious_until;
+
   // Data centres whose judges found the new version good at full share for the
   // whole bake; sorted. The move is done when every data centre is in here.
   std::vector<std::string> ready_data_centres;
--- a/src/decisions/move_judge.cc
+++ b/src/decisions/move_judge.cc
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <sstream>
 #include <string_view>
+#include <utility>
 
 #include "decisions/move_schedule.h"
 
@@ -24,7 +25,8 @@
     .tolerance = 0.025,
     .excesses = {0.07, 0.15, 0.4, 0.9},
     .expected_rate = 0.05,
-    .expected_weight = 50};
+    .expected_weight = 50,
+    .suspicious_excess = 0.25};
 
 constexpr int kSymptoms = 2;  // Failing and being slow.
 
@@ -134,6 +136,9 @@
     (is_new ? to.pending.new_calls : to.pending.old_calls) += increment.calls;
     (is_new ? to.pending.new_hits : to.pending.old_hits) += hits;
     (is_new ? to.new_hits : to.old_hits) += hits;
+    if (!is_new) return;
+    to.unwatched_calls += increment.calls;
+    to.unwatched_hits += hits;
   };
   for (stratum* counted : {&strata_.front(), &StratumOf(increment.route)}) {
     (is_new ? counted->new_calls : counted->old_calls) += increment.calls;
@@ -176,6 +181,8 @@
   stratum& weighed = strata_[index];
   const double needed = -std::log(budget_ * PartOfBudget(index));
   const auto weigh = [&](symptom& of, std::string_view verb) {
+    of.test.Watch(std::exchange(of.unwatched_calls, 0),
+                  std::exchange(of.unwatched_hits, 0));
     if (of.pending.old_calls == 0 || of.pending.new_calls == 0) return;
     of.test.Add(of.pending);
     of.pending = {};
@@ -220,10 +227,8 @@
 }
 
 bool move_judge::IsSuspicious() const {
-  const double suspicious = std::log(20.0);
-  return std::ranges::any_of(strata_, [&](const stratum& one) {
-    return one.failures.test.LogEvidence() > suspicious ||
-           one.slowness.test.LogEvidence() > suspicious;
+  return std::ranges::any_of(strata_, [](const stratum& one) {
+    return one.failures.test.IsSuspicious() || one.slowness.test.IsSuspicious();
   });
 }
 
--- a/src/decisions/move_judge.h
+++ b/src/decisions/move_judge.h
@@ -50,8 +50,8 @@
   // The share that the new version has earned, in whole percent.
   int ClearedPercent() const { return cleared_percent_; }
 
-  // Whether there is unusual, though not yet conclusive, evidence against the
-  // new version.
+  // Whether the new version has lately done unusually badly on some route, as
+  // measured against what is remembered of the old one.
   bool IsSuspicious() const;
 
   // Calls counted so far.
@@ -63,6 +63,8 @@
   struct symptom {
     sequential_test test;
     trial_block pending;  // Not weighed yet: one version is missing in it.
+    std::uint64_t unwatched_calls = 0;  // Of the new version.
+    std::uint64_t unwatched_hits = 0;
     std::uint64_t old_hits = 0;
     std::uint64_t new_hits = 0;
   };
--- a/src/decisions/move_schedule.cc
+++ b/src/decisions/move_schedule.cc
@@ -46,11 +46,20 @@
 }
 
 double AllowedShare(const move& value, const config::move_policy& policy,
-                    int cleared_percent, base::instant now) {
+                    base::instant now) {
+  return AllowedShare(value, policy,
+                      {.cleared_percent = value.cleared_percent,
+                       .cautious_until = value.cautious_until},
+                      now);
+}
+
+double AllowedShare(const move& value, const config::move_policy& policy,
+                    const earned_share& earned, base::instant now) {
   if (now < value.start) return 0;
-  const double earned =
-      std::max(UnprovenShare(policy), cleared_percent / 100.0);
-  return std::min(ScheduledShare(value, policy, now), earned);
+  const double most = now < earned.cautious_until ? kCautiousShare : 1;
+  const double unproven = UnprovenShare(policy);
+  return std::min({ScheduledShare(value, policy, now), most,
+                   std::max(unproven, earned.cleared_percent / 100.0)});
 }
 
 }  // namespace fireflyspar::decisions
--- a/src/decisions/move_schedule.h
+++ b/src/decisions/move_schedule.h
@@ -19,6 +19,10 @@
 // The greatest share that a running move gives to the new version.
 inline constexpr double kFullShare = 1.0 - kControlShare;
 
+// The greatest share while the new version is under suspicion: about where a
+// call tells most about which version is worse, with three of four calls safe.
+inline constexpr double kCautiousShare = 0.25;
+
 // The moment at which the schedule reaches the full share: early enough for
 // the bake and for writing the outcome before `by`. Never before `start`.
 base::instant FullShareAt(const move& value, const config::move_policy& policy);
@@ -28,10 +32,19 @@
 bool FitsInTime(const move& value, const config::move_policy& policy);
 
 // The share in [0, 1] that a running move may have now: zero before its start,
-// then the lesser of the schedule's ramp and of what has been earned, where
-// `cleared_percent` says the latter.
+// then the least of the schedule's ramp, of what has been earned and, under
+// suspicion, of kCautiousShare.
+double AllowedShare(const move& value, const config::move_policy& policy,
+                    base::instant now);
+
+// The part of AllowedShare that changes while a move runs.
+struct earned_share {
+  int cleared_percent = 0;
+  base::instant cautious_until;
+};
+
 double AllowedShare(const move& value, const config::move_policy& policy,
-                    int cleared_percent, base::instant now);
+                    const earned_share& earned, base::instant now);
 
 }  // namespace fireflyspar::decisions
 
--- a/src/decisions/move_tracker.cc
+++ b/src/decisions/move_tracker.cc
@@ -19,6 +19,9 @@
 // A node without an is_judge hook is a judge this long after a report came in.
 constexpr base::duration kJudgeFor = std::chrono::seconds(5);
 
+// How long a suspicion holds the share down after it was last renewed.
+constexpr base::duration kCautionFor = std::chrono::seconds(3);
+
 constexpr int kPercent = 100;
 
 }  // namespace
@@ -80,8 +83,12 @@
   }
   if (heard.state != move_state::kRunning) return 0;
   if (of.value.state != move_state::kRunning || of.is_waiting) return 0;
-  const int cleared = std::max(heard.cleared_percent, of.value.cleared_percent);
-  return AllowedShare(of.value, options_.policy, cleared, now);
+  const earned_share earned{
+      .cleared_percent =
+          std::max(heard.cleared_percent, of.value.cleared_percent),
+      .cautious_until = std::max(
+          {heard.cautious_until, of.value.cautious_until, of.cautious_until})};
+  return AllowedShare(of.value, options_.policy, earned, now);
 }
 
 move_effects move_tracker::Tick(base::instant now) {
@@ -90,6 +97,7 @@
     if (of->value.state != move_state::kRunning) continue;
     Report(*of, now, effects);
     Judge(*of, now, effects);
+    Suspect(*of, now, effects);
     Bake(*of, now, effects);
   }
   return effects;
@@ -131,20 +139,34 @@
   if (!IsJudge(of, now)) return;
   if (of.pooled.ClearedPercent() <= of.value.cleared_percent) return;
   of.value.cleared_percent = of.pooled.ClearedPercent();
-  effects.cleared.push_back(of.value);
+  effects.updates.push_back(of.value);
+}
+
+void move_tracker::Suspect(tracked& of, base::instant now,
+                           move_effects& effects) {
+  if (of.value.state != move_state::kRunning) return;
+  if (of.own.IsSuspicious()) of.cautious_until = now + kCautionFor;
+  if (!IsJudge(of, now) || !of.pooled.IsSuspicious()) return;
+  // Renewed when half of it is over, so that few messages are sent.
+  if (of.value.cautious_until - now > kCautionFor / 2) return;
+  of.value.cautious_until = now + kCautionFor;
+  effects.updates.push_back(of.value);
 }
 
 void move_tracker::Bake(tracked& of, base::instant now, move_effects& effects) {
-  const bool is_full =
-      of.value.state == move_state::kRunning && IsJudge(of, now) &&
-      of.value.cleared_percent >= kPercent && !of.pooled.IsSuspicious() &&
-      now >= FullShareAt(of.value, options_.policy);
+  const bool is_full = of.value.state == move_state::kRunning &&
+                       IsJudge(of, now) &&
+                       of.value.cleared_percent >= kPercent &&
+                       now >= FullShareAt(of.value, options_.policy);
   if (!is_full) {
     of.full_since = {};
     return;
   }
   if (of.full_since == base::instant{}) of.full_since = now;
+  // A suspicion does not begin the bake anew, as it may be a burst of load just
+  // before the set time; but there is no word while it lasts.
   if (of.is_ready || now - of.full_since < options_.policy.bake) return;
+  if (of.pooled.IsSuspicious() || now < of.value.cautious_until) return;
   of.is_ready = true;
   effects.ready.push_back(of.value.id);
 }
--- a/src/decisions/move_tracker.h
+++ b/src/decisions/move_tracker.h
@@ -49,7 +49,8 @@
 struct move_effects {
   std::vector<evidence_report> reports_to_send;
   std::vector<move> verdicts;  // Taken back here, with the evidence.
-  std::vector<move> cleared;   // Running moves whose earned share grew.
+  std::vector<move> updates;   // Running moves whose earned share grew, or
+                               // that have come under suspicion.
   // Moves that this data centre's judges found good for the whole bake.
   std::vector<std::string> ready;
 };
@@ -95,14 +96,16 @@
     std::uint64_t sequence = 0;
     std::uint64_t reported_calls = 0;
     base::instant reported_at;
-    base::instant heard_at;    // When a report last came in.
-    base::instant full_since;  // Zero: not at the full share.
+    base::instant heard_at;        // When a report last came in.
+    base::instant cautious_until;  // By this node's own evidence.
+    base::instant full_since;      // Zero: not at the full share.
     bool is_ready = false;
   };
 
   bool IsJudge(const tracked& of, base::instant now) const;
   void Report(tracked& of, base::instant now, move_effects& effects);
   void Judge(tracked& of, base::instant now, move_effects& effects);
+  void Suspect(tracked& of, base::instant now, move_effects& effects);
   void Bake(tracked& of, base::instant now, move_effects& effects);
   double ShareOf(const tracked& of, const move& heard, base::instant now) const;
 
--- a/src/decisions/sequential_test.cc
+++ b/src/decisions/sequential_test.cc
@@ -11,6 +11,10 @@
 constexpr double kLeastRate = 1e-4;
 constexpr double kGreatestRate = 0.999;
 
+// The sum at which the new version becomes suspicious: about three failures
+// close together.
+constexpr double kSuspiciousLog = 5;
+
 // The old rate t for which (t, t + tolerance) is the point of the null that is
 // nearest to (a, b): where the slope of n0 KL(a|t) + n1 KL(b|t+tolerance) is
 // zero. The slope grows with t, so halving the interval finds it.
@@ -81,6 +85,20 @@
   Learn(block);
 }
 
+void sequential_test::Watch(std::uint64_t new_calls, std::uint64_t new_hits) {
+  constexpr double kMost = kSuspiciousLog + 1;  // So that it ends soon.
+  const double rate = OldRate() + options_.tolerance;
+  const double bad_rate =
+      std::min(OldRate() + options_.suspicious_excess, kGreatestRate);
+  if (bad_rate <= rate) return;
+  suspicion_ = std::clamp(
+      suspicion_ + LogRatio(new_calls, new_hits, bad_rate, rate), 0.0, kMost);
+}
+
+bool sequential_test::IsSuspicious() const {
+  return suspicion_ >= kSuspiciousLog;
+}
+
 void sequential_test::Learn(const trial_block& block) {
   constexpr double kMemoryCalls = 1000;
   old_calls_ += static_cast<double>(block.old_calls);
--- a/src/decisions/sequential_test.h
+++ b/src/decisions/sequential_test.h
@@ -44,6 +44,7 @@
   std::array<double, kExcessCount> excesses{};  // Each above the tolerance.
   double expected_rate = 0;     // Of the old version, before anything is known.
   double expected_weight = 50;  // How many calls that expectation is worth.
+  double suspicious_excess = 0.1;  // What IsSuspicious looks out for.
 };
 
 class sequential_test {
@@ -54,10 +55,19 @@
   // and where it ends must not depend on its hits.
   void Add(const trial_block& block);
 
+  // Looks at calls of the new version alone, as they come in; tells only
+  // IsSuspicious.
+  void Watch(std::uint64_t new_calls, std::uint64_t new_hits);
+
   // The evidence against the new version, as a natural logarithm: the null
   // hypothesis lets it ever reach log(1 / p) with a chance of at most p.
   double LogEvidence() const;
 
+  // Whether the new version's last calls look much worse than the old version's
+  // rate as it is remembered. Quick, because it does not wait for calls of the
+  // old version, but no proof: an overload that hits both looks the same.
+  bool IsSuspicious() const;
+
   // The old version's rate over about its last thousand calls.
   double OldRate() const;
 
@@ -69,6 +79,7 @@
   double old_hits_;
   double old_calls_;
   std::uint64_t blocks_ = 0;
+  double suspicion_ = 0;  // A cumulative sum as in Page 1954.
 };
 
 // The logarithm of one block's e-value for old rate `a` and new rate `b`.
--- a/tests/decisions/move_tracker_test.cc
+++ b/tests/decisions/move_tracker_test.cc
@@ -50,7 +50,7 @@
       tracker.Merge(report, now);
     }
     for (const move& verdict : effects.verdicts) Take(verdict);
-    for (const move& cleared : effects.cleared) Take(cleared);
+    for (const move& update : effects.updates) Take(update);
     is_ready = is_ready || !effects.ready.empty();
     now += milliseconds(250);
   }
