Compare versions only over calls that were shared out alike

A block that reaches over the change holds new calls from the burst and old ones from after it. What was weighed: not counting calls near a change costs 0.6 s of evidence; blocks for each node alone learn too slowly where traffic is low. Counts kept apart by whether the share was held down when the call was dispatched cost one more entry in a report, and only after a suspicion.

--- a/src/decisions/evidence.cc
+++ b/src/decisions/evidence.cc
@@ -8,8 +8,6 @@
 namespace fireflyspar::decisions {
 namespace {
 
-constexpr double kSlowQuantile = 0.95;
-
 // Routes beyond these share the last stratum, so that a preset with very many
 // routes costs bounded memory and a bounded report.
 constexpr std::size_t kMaxRoutes = 32;
@@ -37,32 +35,43 @@
   return count_ > 0 && value > estimate_;
 }
 
-std::size_t move_evidence::RouteIndex(std::string_view route) {
-  const auto found = std::ranges::find(old_, route, &stratum_counts::route);
-  if (found != old_.end()) {
-    return static_cast<std::size_t>(found - old_.begin());
-  }
-  if (old_.size() == kMaxRoutes) return kMaxRoutes - 1;
-  const std::string name(old_.size() == kMaxRoutes - 1 ? kOtherRoutes : route);
-  old_.push_back({.route = name});
-  new_.push_back({.route = name});
-  slow_thresholds_.emplace_back(kSlowQuantile);
-  return old_.size() - 1;
+move_evidence::route_counts& move_evidence::RouteOf(std::string_view route) {
+  const auto found = std::ranges::find(routes_, route, &route_counts::route);
+  if (found != routes_.end()) return *found;
+  if (routes_.size() == kMaxRoutes) return routes_.back();
+  const bool is_last = routes_.size() == kMaxRoutes - 1;
+  routes_.push_back({.route = std::string(is_last ? kOtherRoutes : route)});
+  return routes_.back();
 }
 
-void move_evidence::Record(const move& value, const call_outcome& outcome) {
+void move_evidence::Record(const move& value, const call_outcome& outcome,
+                           bool was_cautious) {
   const bool is_new = outcome.version == value.new_version;
   if (!is_new && outcome.version != value.old_version) return;
-  const std::size_t index = RouteIndex(outcome.route);
-  quantile_tracker& threshold = slow_thresholds_[index];
+  route_counts& of = RouteOf(outcome.route);
   const auto latency = static_cast<double>(outcome.latency.count());
 
-  stratum_counts& counts = is_new ? new_[index] : old_[index];
+  stratum_counts& counts =
+      of.counts[is_new ? kNew : kOld][was_cautious ? 1 : 0];
   ++counts.calls;
   if (outcome.failed) ++counts.failures;
-  if (threshold.IsAbove(latency)) ++counts.slow;
-  if (!is_new) threshold.Add(latency);
+  if (of.slow_threshold.IsAbove(latency)) ++counts.slow;
+  if (!is_new) of.slow_threshold.Add(latency);
   ++calls_;
 }
 
+std::vector<stratum_counts> move_evidence::Counts(side of) const {
+  std::vector<stratum_counts> counts;
+  for (const route_counts& route : routes_) {
+    for (const bool was_cautious : {false, true}) {
+      const stratum_counts& one = route.counts[of][was_cautious ? 1 : 0];
+      if (one.calls == 0) continue;
+      counts.push_back(one);
+      counts.back().route = route.route;
+      counts.back().was_cautious = was_cautious;
+    }
+  }
+  return counts;
+}
+
 }  // namespace fireflyspar::decisions
--- a/src/decisions/evidence.h
+++ b/src/decisions/evidence.h
@@ -6,6 +6,7 @@
 #ifndef FIREFLYSPAR_DECISIONS_EVIDENCE_H_
 #define FIREFLYSPAR_DECISIONS_EVIDENCE_H_
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -44,22 +45,32 @@
 // The counts of one move on one node.
 class move_evidence {
  public:
-  // Counts the call if it went to one of the move's versions.
-  void Record(const move& value, const call_outcome& outcome);
+  // Counts the call if it went to one of the move's versions. `was_cautious`:
+  // the share was held down when the call was dispatched.
+  void Record(const move& value, const call_outcome& outcome,
+              bool was_cautious);
 
-  const std::vector<stratum_counts>& OldVersion() const { return old_; }
-  const std::vector<stratum_counts>& NewVersion() const { return new_; }
+  std::vector<stratum_counts> OldVersion() const { return Counts(kOld); }
+  std::vector<stratum_counts> NewVersion() const { return Counts(kNew); }
 
   // Grows with each counted call.
   std::uint64_t Calls() const { return calls_; }
 
  private:
-  std::size_t RouteIndex(std::string_view route);
+  enum side { kOld, kNew };
+  static constexpr double kSlowQuantile = 0.95;
 
-  // The three have one entry for each route, in the same order.
-  std::vector<stratum_counts> old_;
-  std::vector<stratum_counts> new_;
-  std::vector<quantile_tracker> slow_thresholds_;
+  struct route_counts {
+    std::string route;
+    quantile_tracker slow_threshold{kSlowQuantile};
+    // By version, then by whether the share was held down.
+    std::array<std::array<stratum_counts, 2>, 2> counts;
+  };
+
+  route_counts& RouteOf(std::string_view route);
+  std::vector<stratum_counts> Counts(side of) const;
+
+  std::vector<route_counts> routes_;
   std::uint64_t calls_ = 0;
 };
 
--- a/src/decisions/evidence_report.h
+++ b/src/decisions/evidence_report.h
@@ -10,9 +10,14 @@
 
 namespace fireflyspar::decisions {
 
-// Calls of one route to one version.
+// Calls of one route to one version, dispatched while the share was held down
+// by a suspicion or while it was not. The two are kept apart since versions may
+// only be compared over calls that were shared out alike: were new calls mostly
+// counted in a burst of load, and old ones mostly after it, the new version
+// would look worse for no fault of its own.
 struct stratum_counts {
   std::string route;
+  bool was_cautious = false;
   std::uint64_t calls = 0;
   std::uint64_t failures = 0;
   std::uint64_t slow = 0;  // Slower than the old version's 95th percentile.
--- a/src/decisions/move_judge.cc
+++ b/src/decisions/move_judge.cc
@@ -72,25 +72,33 @@
 }
 
 const stratum_counts* Find(const std::vector<stratum_counts>& counts,
-                           const std::string& route) {
-  const auto found = std::ranges::find(counts, route, &stratum_counts::route);
+                           const stratum_counts& like) {
+  const auto found =
+      std::ranges::find_if(counts, [&](const stratum_counts& one) {
+        return one.route == like.route && one.was_cautious == like.was_cautious;
+      });
   return found == counts.end() ? nullptr : &*found;
 }
 
 // What `later` has more than `earlier`; counts never fall within one run.
 stratum_counts Increment(const stratum_counts& later,
                          const std::vector<stratum_counts>& earlier) {
-  const stratum_counts* before = Find(earlier, later.route);
+  const stratum_counts* before = Find(earlier, later);
   if (before == nullptr) return later;
   const auto more = [](std::uint64_t now, std::uint64_t then) {
     return now > then ? now - then : 0;
   };
   return {.route = later.route,
+          .was_cautious = later.was_cautious,
           .calls = more(later.calls, before->calls),
           .failures = more(later.failures, before->failures),
           .slow = more(later.slow, before->slow)};
 }
 
+bool IsComparable(const trial_block& block) {
+  return block.old_calls > 0 && block.new_calls > 0;
+}
+
 std::string Sentence(const move& value, std::string_view route,
                      std::string_view verb, std::uint64_t new_hits,
                      std::uint64_t new_calls, std::uint64_t old_hits,
@@ -133,8 +141,9 @@
 void move_judge::Count(const stratum_counts& increment, bool is_new) {
   if (increment.calls == 0) return;
   const auto add = [&](symptom& to, std::uint64_t hits) {
-    (is_new ? to.pending.new_calls : to.pending.old_calls) += increment.calls;
-    (is_new ? to.pending.new_hits : to.pending.old_hits) += hits;
+    trial_block& pending = to.pending[increment.was_cautious ? 1 : 0];
+    (is_new ? pending.new_calls : pending.old_calls) += increment.calls;
+    (is_new ? pending.new_hits : pending.old_hits) += hits;
     (is_new ? to.new_hits : to.old_hits) += hits;
     if (!is_new) return;
     to.unwatched_calls += increment.calls;
@@ -171,36 +180,61 @@
                        base::instant now) {
   cleared_percent_ = std::max(cleared_percent_, value.cleared_percent);
   if (!fault_.empty()) return;
-  Grow(value, policy, now);
+  const stratum& all = strata_.front();
+  for (std::size_t i = 0; i < all.failures.pending.size(); ++i) {
+    const trial_block& failures = all.failures.pending[i];
+    if (!IsComparable(failures)) continue;
+    Grow(failures, all.slowness.pending[i], value, policy, now);
+  }
   for (std::size_t i = 0; i < strata_.size() && fault_.empty(); ++i) {
     WeighStratum(i, value);
   }
+  Beware();
+}
+
+void move_judge::Beware() {
+  constexpr std::uint64_t kMostCalls = 60;
+  constexpr std::uint64_t kRestFactor = 5;
+  const std::uint64_t calls = NewCalls();
+  const bool is_suspicious = IsSuspicious();
+  if (!is_cautious_) {
+    is_cautious_ = is_suspicious && calls >= not_cautious_to_;
+    cautious_from_ = calls;
+    return;
+  }
+  const std::uint64_t spent = calls - cautious_from_;
+  if (is_suspicious && spent < kMostCalls) return;
+  is_cautious_ = false;
+  not_cautious_to_ = calls + kRestFactor * spent;
 }
 
 void move_judge::WeighStratum(std::size_t index, const move& value) {
   stratum& weighed = strata_[index];
+  WeighSymptom(weighed.failures, index, "failed", value);
+  WeighSymptom(weighed.slowness, index, "was slow on", value);
+}
+
+void move_judge::WeighSymptom(symptom& of, std::size_t index,
+                              std::string_view verb, const move& value) {
+  of.test.Watch(std::exchange(of.unwatched_calls, 0),
+                std::exchange(of.unwatched_hits, 0));
+  for (trial_block& block : of.pending) {
+    if (!IsComparable(block)) continue;
+    of.test.Add(std::exchange(block, {}));
+  }
   const double needed = -std::log(budget_ * PartOfBudget(index));
-  const auto weigh = [&](symptom& of, std::string_view verb) {
-    of.test.Watch(std::exchange(of.unwatched_calls, 0),
-                  std::exchange(of.unwatched_hits, 0));
-    if (of.pending.old_calls == 0 || of.pending.new_calls == 0) return;
-    of.test.Add(of.pending);
-    of.pending = {};
-    if (of.test.LogEvidence() < needed || !fault_.empty()) return;
-    fault_ = Sentence(value, weighed.route, verb, of.new_hits,
-                      weighed.new_calls, of.old_hits, weighed.old_calls);
-  };
-  weigh(weighed.failures, "failed");
-  weigh(weighed.slowness, "was slow on");
+  if (of.test.LogEvidence() < needed || !fault_.empty()) return;
+  const stratum& weighed = strata_[index];
+  fault_ = Sentence(value, weighed.route, verb, of.new_hits, weighed.new_calls,
+                    of.old_hits, weighed.old_calls);
 }
 
-void move_judge::Grow(const move& value, const config::move_policy& policy,
+void move_judge::Grow(const trial_block& failures, const trial_block& slowness,
+                      const move& value, const config::move_policy& policy,
                       base::instant now) {
   constexpr int kWhole = 100;
   const stratum& all = strata_.front();
   if (cleared_percent_ >= kWhole || now <= value.start) return;
-  const trial_block& failures = all.failures.pending;
-  if (failures.new_calls == 0 || failures.old_calls == 0) return;
 
   const double percent = std::max<double>(
       cleared_percent_, std::max(policy.max_unproven_percent, 0.1));
@@ -211,12 +245,13 @@
       static_cast<double>(all.old_calls + all.new_calls) / gone.count();
   const double calls = CallsPerLevel(percent / kWhole, calls_per_second, left);
 
-  const auto add = [&](growth_evidence& to, const symptom& from, double least) {
-    const double rate = from.test.OldRate();
-    to.Add(from.pending, rate, ExcessRuledOutBy(calls, rate, least));
+  const auto add = [&](growth_evidence& to, const trial_block& block,
+                       const sequential_test& test, double least) {
+    const double rate = test.OldRate();
+    to.Add(block, rate, ExcessRuledOutBy(calls, rate, least));
   };
-  add(failure_growth_, all.failures, kLeastFailureExcess);
-  add(slowness_growth_, all.slowness, kLeastSlownessExcess);
+  add(failure_growth_, failures, all.failures.test, kLeastFailureExcess);
+  add(slowness_growth_, slowness, all.slowness.test, kLeastSlownessExcess);
   if (failure_growth_.log_ratio < kGrowthLog) return;
   if (slowness_growth_.log_ratio < kGrowthLog) return;
   failure_growth_ = {};
--- a/src/decisions/move_judge.h
+++ b/src/decisions/move_judge.h
@@ -8,6 +8,7 @@
 #ifndef FIREFLYSPAR_DECISIONS_MOVE_JUDGE_H_
 #define FIREFLYSPAR_DECISIONS_MOVE_JUDGE_H_
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -54,6 +55,12 @@
   // measured against what is remembered of the old one.
   bool IsSuspicious() const;
 
+  // Whether the share should be held down now, so that the versions can be
+  // compared well. Only for a bounded number of calls after a suspicion arose,
+  // and then not again for a multiple of them: a fault that shows under load
+  // hides while the share is down, and would otherwise never be proven.
+  bool WantsCaution() const { return is_cautious_; }
+
   // Calls counted so far.
   std::uint64_t OldCalls() const { return strata_.front().old_calls; }
   std::uint64_t NewCalls() const { return strata_.front().new_calls; }
@@ -62,7 +69,8 @@
   // One of failing and being slow, on one route.
   struct symptom {
     sequential_test test;
-    trial_block pending;  // Not weighed yet: one version is missing in it.
+    // Not weighed yet; one block for the share held down and one for not.
+    std::array<trial_block, 2> pending;
     std::uint64_t unwatched_calls = 0;  // Of the new version.
     std::uint64_t unwatched_hits = 0;
     std::uint64_t old_hits = 0;
@@ -86,7 +94,11 @@
   stratum& StratumOf(const std::string& route);
   void Count(const stratum_counts& increment, bool is_new);
   void WeighStratum(std::size_t index, const move& value);
-  void Grow(const move& value, const config::move_policy& policy,
+  void WeighSymptom(symptom& of, std::size_t index, std::string_view verb,
+                    const move& value);
+  void Beware();
+  void Grow(const trial_block& failures, const trial_block& slowness,
+            const move& value, const config::move_policy& policy,
             base::instant now);
 
   double budget_;
@@ -96,6 +108,9 @@
   growth_evidence failure_growth_;
   growth_evidence slowness_growth_;
   int cleared_percent_ = 0;
+  bool is_cautious_ = false;
+  std::uint64_t cautious_from_ = 0;  // Both count calls of the new version.
+  std::uint64_t not_cautious_to_ = 0;
   std::string fault_;
 };
 
--- a/src/decisions/move_tracker.cc
+++ b/src/decisions/move_tracker.cc
@@ -20,7 +20,7 @@
 constexpr base::duration kJudgeFor = std::chrono::seconds(5);
 
 // How long a suspicion holds the share down after it was last renewed.
-constexpr base::duration kCautionFor = std::chrono::seconds(3);
+constexpr base::duration kCautionFor = std::chrono::milliseconds(1500);
 
 constexpr int kPercent = 100;
 
@@ -33,7 +33,7 @@
   options_.policy = policy;
 }
 
-void move_tracker::SetMoves(std::span<const move> moves, base::instant) {
+void move_tracker::SetMoves(std::span<const move> moves, base::instant now) {
   const double pooled_budget = kFalseAlarmBudget * kHalf;
   const double own_budget =
       pooled_budget / std::max(options_.expected_nodes, 1);
@@ -44,6 +44,7 @@
     tracked& of = moves_.try_emplace(heard.id, heard, own_budget, pooled_budget)
                       .first->second;
     of.value = decisions::Merge(of.value, heard);
+    NoteCaution(of, now);
     // Two moves of a service would shift the same calls; the later one waits
     // until the outcome of the earlier one is final.
     if (of.value.is_final) continue;
@@ -53,10 +54,32 @@
       moves_, [&](const auto& entry) { return !known.contains(entry.first); });
 }
 
-void move_tracker::Record(const call_outcome& outcome, base::instant) {
+void move_tracker::Record(const call_outcome& outcome, base::instant now) {
   const auto found = running_.find(outcome.service);
   if (found == running_.end()) return;
-  found->second->evidence.Record(found->second->value, outcome);
+  // What counts is how calls were shared out when this one was dispatched.
+  // Were it put down to the moment of its answer, slow answers would fall among
+  // calls that were shared out otherwise.
+  tracked& of = *found->second;
+  of.evidence.Record(of.value, outcome, WasCautious(of, now - outcome.latency));
+}
+
+void move_tracker::NoteCaution(tracked& of, base::instant now) {
+  constexpr std::size_t kMostStretches = 8;
+  const base::instant until = of.value.cautious_until;
+  if (until <= now) return;
+  if (!of.cautious.empty() && now <= of.cautious.back().until) {
+    of.cautious.back().until = std::max(of.cautious.back().until, until);
+    return;
+  }
+  if (of.cautious.size() == kMostStretches) of.cautious.pop_front();
+  of.cautious.push_back({.from = now, .until = until});
+}
+
+bool move_tracker::WasCautious(const tracked& of, base::instant at) {
+  return std::ranges::any_of(of.cautious, [&](const stretch& one) {
+    return one.from <= at && at < one.until;
+  });
 }
 
 void move_tracker::Merge(const evidence_report& report, base::instant now) {
@@ -86,8 +109,8 @@
   const earned_share earned{
       .cleared_percent =
           std::max(heard.cleared_percent, of.value.cleared_percent),
-      .cautious_until = std::max(
-          {heard.cautious_until, of.value.cautious_until, of.cautious_until})};
+      .cautious_until =
+          std::max({heard.cautious_until, of.value.cautious_until})};
   return AllowedShare(of.value, options_.policy, earned, now);
 }
 
@@ -145,11 +168,11 @@
 void move_tracker::Suspect(tracked& of, base::instant now,
                            move_effects& effects) {
   if (of.value.state != move_state::kRunning) return;
-  if (of.own.IsSuspicious()) of.cautious_until = now + kCautionFor;
-  if (!IsJudge(of, now) || !of.pooled.IsSuspicious()) return;
+  if (!IsJudge(of, now) || !of.pooled.WantsCaution()) return;
   // Renewed when half of it is over, so that few messages are sent.
   if (of.value.cautious_until - now > kCautionFor / 2) return;
   of.value.cautious_until = now + kCautionFor;
+  NoteCaution(of, now);
   effects.updates.push_back(of.value);
 }
 
--- a/src/decisions/move_tracker.h
+++ b/src/decisions/move_tracker.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <span>
@@ -84,6 +85,11 @@
   std::string Progress(const std::string& move_id, base::instant now) const;
 
  private:
+  // A stretch of time over which this node held the share down.
+  struct stretch {
+    base::instant from;
+    base::instant until;
+  };
   struct tracked {
     explicit tracked(move first, double own_budget, double pooled_budget)
         : value(std::move(first)), own(own_budget), pooled(pooled_budget) {}
@@ -97,11 +103,13 @@
     std::uint64_t reported_calls = 0;
     base::instant reported_at;
     base::instant heard_at;        // When a report last came in.
-    base::instant cautious_until;  // By this node's own evidence.
+    std::deque<stretch> cautious;  // The last ones, in order of time.
     base::instant full_since;      // Zero: not at the full share.
     bool is_ready = false;
   };
 
+  static void NoteCaution(tracked& of, base::instant now);
+  static bool WasCautious(const tracked& of, base::instant at);
   bool IsJudge(const tracked& of, base::instant now) const;
   void Report(tracked& of, base::instant now, move_effects& effects);
   void Judge(tracked& of, base::instant now, move_effects& effects);
