Carry earned share, caution and its strata between nodes

Cause: the mesh dropped the three new fields, so that no move could ever grow past its unproven share in the product, and the node still used the old name of the moves to spread.

--- a/src/app/move_control.cc
+++ b/src/app/move_control.cc
@@ -35,7 +35,7 @@
   }();
   std::ranges::for_each(effects.reports_to_send, options_.send_report);
   std::ranges::for_each(effects.verdicts, options_.offer_move);
-  std::ranges::for_each(effects.cleared, options_.offer_move);
+  std::ranges::for_each(effects.updates, options_.offer_move);
   std::ranges::for_each(effects.verdicts, options_.write_outcome);
   std::ranges::for_each(effects.ready, options_.write_ready);
 }
--- a/src/decisions/record_index.cc
+++ b/src/decisions/record_index.cc
@@ -44,6 +44,9 @@
 record_version VersionOf(const move& value) {
   std::string content;
   Append(content, value.id);
+  Append(content, std::to_string(value.cleared_percent));
+  Append(content,
+         std::to_string(value.cautious_until.time_since_epoch().count()));
   Append(content, value.service);
   Append(content, value.old_version);
   Append(content, value.new_version);
--- a/src/nodes/peer.capnp
+++ b/src/nodes/peer.capnp
@@ -36,6 +36,8 @@
   isFinal @8 :Bool;
   evidence @9 :Text;
   readyDataCentres @10 :List(Text);
+  clearedPercent @11 :UInt8;
+  cautiousUntilMicroseconds @12 :Int64;
 }
 
 struct RecordVersion {
@@ -88,6 +90,7 @@
   calls @1 :UInt64;
   failures @2 :UInt64;
   slow @3 :UInt64;
+  wasCautious @4 :Bool;
 }
 
 struct Evidence {
--- a/src/nodes/peer.capnp.h
+++ b/src/nodes/peer.capnp.h
@@ -84,7 +84,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b23cf25b6d305813, 3, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(b23cf25b6d305813, 4, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -180,7 +180,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(91bf515af921466a, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(91bf515af921466a, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -643,6 +643,10 @@
   inline bool hasReadyDataCentres() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getReadyDataCentres() const;
 
+  inline  ::uint8_t getClearedPercent() const;
+
+  inline  ::int64_t getCautiousUntilMicroseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -733,6 +737,12 @@
   inline void adoptReadyDataCentres(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownReadyDataCentres();
 
+  inline  ::uint8_t getClearedPercent();
+  inline void setClearedPercent( ::uint8_t value);
+
+  inline  ::int64_t getCautiousUntilMicroseconds();
+  inline void setCautiousUntilMicroseconds( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1381,6 +1391,8 @@
 
   inline  ::uint64_t getSlow() const;
 
+  inline bool getWasCautious() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1425,6 +1437,9 @@
   inline  ::uint64_t getSlow();
   inline void setSlow( ::uint64_t value);
 
+  inline bool getWasCautious();
+  inline void setWasCautious(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2967,6 +2982,34 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline  ::uint8_t Move::Reader::getClearedPercent() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Move::Builder::getClearedPercent() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void Move::Builder::setClearedPercent( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Move::Reader::getCautiousUntilMicroseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Move::Builder::getCautiousUntilMicroseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Move::Builder::setCautiousUntilMicroseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RecordVersion::Reader::getKey() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3888,6 +3931,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Stratum::Reader::getWasCautious() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool Stratum::Builder::getWasCautious() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void Stratum::Builder::setWasCautious(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Evidence::Reader::hasMoveId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/nodes/wire.cc
+++ b/src/nodes/wire.cc
@@ -1,5 +1,6 @@
 #include "nodes/wire.h"
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -147,6 +148,8 @@
   out.setEvidence(value.evidence);
   WriteTexts(value.ready_data_centres,
              out.initReadyDataCentres(value.ready_data_centres.size()));
+  out.setClearedPercent(static_cast<std::uint8_t>(value.cleared_percent));
+  out.setCautiousUntilMicroseconds(ToMicroseconds(value.cautious_until));
 }
 
 base::result<move> Read(wire::Move::Reader in) {
@@ -162,6 +165,8 @@
               .state = *state,
               .is_final = in.getIsFinal(),
               .evidence = ToString(in.getEvidence()),
+              .cleared_percent = std::min<int>(in.getClearedPercent(), 100),
+              .cautious_until = ToInstant(in.getCautiousUntilMicroseconds()),
               .ready_data_centres = ReadTexts(in.getReadyDataCentres())};
 }
 
@@ -210,6 +215,7 @@
     out[i].setCalls(values[i].calls);
     out[i].setFailures(values[i].failures);
     out[i].setSlow(values[i].slow);
+    out[i].setWasCautious(values[i].was_cautious);
   }
 }
 
@@ -219,6 +225,7 @@
   values.reserve(in.size());
   for (const auto each : in) {
     values.push_back({.route = ToString(each.getRoute()),
+                      .was_cautious = each.getWasCautious(),
                       .calls = each.getCalls(),
                       .failures = each.getFailures(),
                       .slow = each.getSlow()});
