Check moves under delayed, doubled, dropped and crossed messages

What was weighed: a judge that comes late took the whole sums of its first reports as one block; a burst in them would condemn a good version. It now starts from them.

--- a/src/decisions/move_judge.h
+++ b/src/decisions/move_judge.h
@@ -4,7 +4,9 @@
 //
 // Reports of one node replace each other by (incarnation, sequence), so that
 // lost, doubled and crossed ones do no harm. What a node's former life reported
-// stays counted.
+// stays counted. A judge that comes late starts from the first report of each
+// node: what lies before it was shared out in many ways over time, so that its
+// sums can't be compared; it only shows in the totals.
 #ifndef FIREFLYSPAR_DECISIONS_MOVE_JUDGE_H_
 #define FIREFLYSPAR_DECISIONS_MOVE_JUDGE_H_
 
@@ -92,7 +94,7 @@
   };
 
   stratum& StratumOf(const std::string& route);
-  void Count(const stratum_counts& increment, bool is_new);
+  void Count(const stratum_counts& increment, bool is_new, bool is_evidence);
   void WeighStratum(std::size_t index, const move& value);
   void WeighSymptom(symptom& of, std::size_t index, std::string_view verb,
                     const move& value);
