--- a/tests/decisions/move_property_test.cc
+++ b/tests/decisions/move_property_test.cc
@@ -43,9 +43,12 @@
   std::vector<double> owed = std::vector<double>(kNodes, 0.0);
 
   small_fleet() {
-    for (std::size_t node = 0; node < kNodes; ++node)
+    for (std::size_t node = 0; node < kNodes; ++node) {
       trackers.push_back(Made(node, 1));
-    for (std::size_t node = 0; node < kNodes; ++node) Set(node);
+    }
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      Set(node);
+    }
   }
 
   static move_tracker Made(std::size_t node, std::uint64_t incarnation) {
@@ -106,8 +109,9 @@
 
   void Deliver(std::size_t index, bool keep) {
     const letter taken = letters[index];
-    if (!keep)
+    if (!keep) {
       letters.erase(letters.begin() + static_cast<std::ptrdiff_t>(index));
+    }
     if (const auto* value = std::get_if<move>(&taken.body)) {
       Take(taken.target, *value);
     } else {
@@ -143,7 +147,7 @@
 
 TEST_CASE(
     "a share stays within what was earned and never grows once taken back") {
-  CHECK(rc::check([] {
+  const bool holds = rc::check([] {
     small_fleet fleet;
     std::vector<bool> was_taken_back(kNodes, false);
     const bool is_bad = *rc::gen::arbitrary<bool>();
@@ -157,7 +161,9 @@
         const double earned =
             std::max(0.02, fleet.held[node].cleared_percent / 100.0);
         RC_ASSERT(share <= earned + 1e-9);
-        if (was_taken_back[node]) RC_ASSERT(share == 0);
+        if (was_taken_back[node]) {
+          RC_ASSERT(share == 0);
+        }
         if (fleet.held[node].state == move_state::kTakenBack) {
           was_taken_back[node] = true;
         }
@@ -166,14 +172,16 @@
     // A version that always fails earns nothing, however its reports are
     // doubled and reordered.
     if (is_bad) {
-      for (const move& value : fleet.held)
+      for (const move& value : fleet.held) {
         RC_ASSERT(value.cleared_percent == 0);
+      }
     }
-  }));
+  });
+  CHECK(holds);
 }
 
 TEST_CASE("a verdict reaches everyone, and a good version gets none") {
-  CHECK(rc::check([] {
+  const bool holds = rc::check([] {
     small_fleet fleet;
     const bool is_bad = *rc::gen::arbitrary<bool>();
     const int steps = is_bad ? 120 : *rc::gen::inRange(1, 60);
@@ -187,11 +195,12 @@
       RC_ASSERT((fleet.held[node].state == move_state::kTakenBack) == is_bad);
       RC_ASSERT(!is_bad || fleet.Share(node) == 0);
     }
-  }));
+  });
+  CHECK(holds);
 }
 
 TEST_CASE("a final outcome wins over whatever a node held") {
-  CHECK(rc::check([] {
+  const bool holds = rc::check([] {
     small_fleet fleet;
     move last = fleet.held[0];
     last.state = *rc::gen::arbitrary<bool>() ? move_state::kDone
@@ -208,11 +217,12 @@
     for (std::size_t node = 0; node < kNodes; ++node) {
       RC_ASSERT(fleet.Share(node) == (last.state == move_state::kDone ? 1 : 0));
     }
-  }));
+  });
+  CHECK(holds);
 }
 
 TEST_CASE("late, doubled and crossed reports give the same judgement") {
-  CHECK(rc::check([] {
+  const bool holds = rc::check([] {
     const auto report = [](std::uint64_t sequence) {
       return evidence_report{
           .move_id = "m",
@@ -232,7 +242,8 @@
     }
     RC_ASSERT(judge.OldCalls() == 10 * greatest);
     RC_ASSERT(judge.NewCalls() == 2 * greatest);
-  }));
+  });
+  CHECK(holds);
 }
 
 TEST_CASE("what a node's former life reported stays counted") {
