--- a/src/app/move_control.cc
+++ b/src/app/move_control.cc
@@ -10,6 +10,7 @@
 
 void move_control::SetView(const decisions::fleet_view& view) {
   const std::lock_guard lock(mutex_);
+  if (view.configuration) tracker_.SetPolicy(view.configuration->content.moves);
   tracker_.SetMoves(view.moves, options_.clock());
 }
 
@@ -35,7 +36,7 @@
   }();
   std::ranges::for_each(effects.reports_to_send, options_.send_report);
   std::ranges::for_each(effects.verdicts, options_.offer_move);
-  std::ranges::for_each(effects.cleared, options_.offer_move);
+  std::ranges::for_each(effects.updates, options_.offer_move);
   std::ranges::for_each(effects.verdicts, options_.write_outcome);
   std::ranges::for_each(effects.ready, options_.write_ready);
 }
