Wait for an added instance's node before calling it

Cause of the 19 calls without an answer: the demonstration called nodes that had been added a moment before and did not listen yet. All 19 fell on those.

--- a/lab/deployment.cc
+++ b/lab/deployment.cc
@@ -168,6 +168,12 @@
   if (const auto started = StartServer(added); !started) {
     return started.Failure();
   }
+  const bool is_ready =
+      WaitFor([&] { return IsReady(added); }, std::chrono::seconds{30});
+  if (!is_ready) {
+    return base::Fail(base::error_kind::kTimedOut,
+                      "the node at " + added.ip + " does not become ready");
+  }
   return &added;
 }
 
