--- a/tests/config/preset_text_test.cc
+++ b/tests/config/preset_text_test.cc
@@ -70,7 +70,7 @@
     CHECK(std::get<preset>(again) == std::get<preset>(parsed));
     CHECK(ToText(std::get<preset>(again)) == text);
   }
-  CHECK(count >= 1);
+  CHECK(count >= 6);
 }
 
 TEST_CASE("a snapshot's text must be what its hash names, and valid") {
--- /dev/null
+++ b/tests/config/validate_test.cc
@@ -0,0 +1,170 @@
+#include "config/validate.h"
+
+#include <algorithm>
+#include <array>
+#include <catch2/catch.hpp>
+#include <functional>
+
+#include "config/preset_text.h"
+#include "presets.h"
+
+namespace fireflyspar::config {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct change {
+  std::string_view pointer;  // Of the fault that the change makes.
+  std::function<void(preset&)> make;
+};
+
+std::string Describe(const faults& found) {
+  std::string text;
+  for (const fault& each : found) {
+    text += each.pointer + " | " + each.value + " | " + each.expected + "\n";
+  }
+  return text;
+}
+
+// A route to the first service, beside those of LargePreset.
+route ExtraRoute(visibility seen_from, const std::string& path) {
+  return {.name = "extra",
+          .path_prefix = path,
+          .service = "service-0",
+          .seen_from = seen_from};
+}
+
+TEST_CASE("each bad value is the one fault, at its pointer") {
+  REQUIRE(Validate(LargePreset(2)).empty());
+  const std::array changes = {
+      change{"/schema_version", [](preset& p) { p.schema_version = 2; }},
+      change{"/schema_version", [](preset& p) { p.schema_version = 0; }},
+      change{"/name", [](preset& p) { p.name = ""; }},
+      change{"/name", [](preset& p) { p.name = "a/b"; }},
+      change{"/name", [](preset& p) { p.name = "..\n"; }},
+      change{"/name", [](preset& p) { p.name = std::string(101, 'a'); }},
+      change{"/description", [](preset& p) { p.description = "\xC3\x28"; }},
+      change{"/data_centres", [](preset& p) { p.data_centres.clear(); }},
+      change{"/data_centres/2",
+             [](preset& p) { p.data_centres[2] = p.data_centres[0]; }},
+      change{"/services/1/name",
+             [](preset& p) {
+               p.services.push_back(p.services[0]);
+               std::swap(p.services[1], p.services[2]);
+             }},
+      change{"/services/0/versions",
+             [](preset& p) { p.services[0].versions[1].percent = 1; }},
+      change{"/services/0/versions",
+             [](preset& p) { p.services[0].versions[0].percent = 99; }},
+      change{"/services/0/versions/1/version",
+             [](preset& p) { p.services[0].versions[1].version = "v1"; }},
+      change{"/services/0/max_calls_per_second",
+             [](preset& p) { p.services[0].max_calls_per_second = -1; }},
+      change{"/services/0/max_in_flight_per_caller",
+             [](preset& p) { p.services[0].max_in_flight_per_caller = -1; }},
+      change{"/services/0/timeout_ms",
+             [](preset& p) { p.services[0].timeout = milliseconds(0); }},
+      change{"/services/0/retries/max_attempts",
+             [](preset& p) { p.services[0].retries.max_attempts = 0; }},
+      change{"/services/0/retries/budget_percent",
+             [](preset& p) { p.services[0].retries.budget_percent = 101; }},
+      change{"/routes/3/service",
+             [](preset& p) { p.routes[3].service = "gone"; }},
+      change{"/routes/1/name",
+             [](preset& p) { p.routes[1].name = p.routes[0].name; }},
+      change{"/routes/0/path_prefix",
+             [](preset& p) { p.routes[0].path_prefix = "service-0"; }},
+      change{"/routes/0/path_prefix",
+             [](preset& p) { p.routes[0].path_prefix = "/a/../b"; }},
+      change{"/routes/0/path_prefix",
+             [](preset& p) { p.routes[0].path_prefix = "/a/"; }},
+      change{"/routes/0/methods/1",
+             [](preset& p) { p.routes[0].methods.push_back("GET"); }},
+      change{"/routes/0/methods/1",
+             [](preset& p) { p.routes[0].methods.push_back("post"); }},
+      change{"/routes/0/headers/0/name",
+             [](preset& p) { p.routes[0].headers = {{"X-Depot", "1"}}; }},
+      change{"/routes/0/headers/0/value",
+             [](preset& p) { p.routes[0].headers = {{"x-depot", "a\r\nb"}}; }},
+      change{"/routes/0/timeout_ms",
+             [](preset& p) { p.routes[0].timeout = milliseconds(-1); }},
+      change{"/moves/max_unproven_percent",
+             [](preset& p) { p.moves.max_unproven_percent = 0; }},
+      change{"/moves/bake_s",
+             [](preset& p) { p.moves.bake = std::chrono::seconds(-1); }},
+  };
+  for (const change& each : changes) {
+    preset value = LargePreset(2);
+    each.make(value);
+    const faults found = Validate(value);
+    INFO(each.pointer << "\n" << Describe(found));
+    REQUIRE(found.size() == 1);
+    CHECK(found[0].pointer == each.pointer);
+  }
+}
+
+TEST_CASE("all faults are told in one pass") {
+  preset value = LargePreset(2);
+  value.name = "Not A Name";
+  value.services[0].timeout = milliseconds(0);
+  value.services[1].versions[0].percent = 50;
+  value.routes[3].service = "gone";
+  CHECK(Validate(value).size() == 4);
+}
+
+TEST_CASE("a route that an earlier one leaves no calls is a fault") {
+  preset value = LargePreset(2);
+  // The first route, "/service-0" by GET, covers this one.
+  route hidden = ExtraRoute(visibility::kOutside, "/service-0/x");
+  hidden.methods = {"GET"};
+  value.routes.push_back(hidden);
+  const faults found = Validate(value);
+  INFO(Describe(found));
+  REQUIRE(found.size() == 1);
+  CHECK(found[0].pointer == "/routes/4");
+
+  // With a method of its own, a header of its own or a place before it, it
+  // takes calls. "/service-0x" is another segment.
+  value.routes.back().methods = {"GET", "PUT"};
+  CHECK(Validate(value).empty());
+  value.routes.back().path_prefix = "/service-0x";
+  value.routes.back().methods = {"GET"};
+  CHECK(Validate(value).empty());
+}
+
+TEST_CASE("an outside route must not lay an inside-only path open") {
+  const route inside = ExtraRoute(visibility::kInside, "/service-0/tallies");
+  preset after = LargePreset(1);
+  after.routes.push_back(inside);
+  const faults found = Validate(after);
+  INFO(Describe(found));
+  REQUIRE(found.size() == 1);
+  CHECK(found[0].pointer == "/routes/2");
+
+  preset before = LargePreset(1);
+  before.routes.insert(before.routes.begin(), inside);
+  CHECK(Validate(before).empty());
+
+  // A header that the outside caller can leave out guards nothing.
+  preset by_header = before;
+  by_header.routes[0].headers = {{.name = "x-inside", .value = "1"}};
+  CHECK(Validate(by_header).size() == 1);
+
+  // The outside route's GET must be among the methods that are kept inside.
+  preset by_method = before;
+  by_method.routes[0].methods = {"POST", "GET"};
+  CHECK(Validate(by_method).empty());
+  by_method.routes[1].methods = {"GET", "PUT"};
+  CHECK(Validate(by_method).size() == 1);
+}
+
+TEST_CASE("a preset whose written-out text is too large is refused") {
+  preset value = LargePreset(1999);
+  REQUIRE(ToText(value).size() > kMaxPresetBytes);
+  const faults found = Validate(value);
+  REQUIRE(found.size() == 1);
+  CHECK(found[0].pointer.empty());
+}
+
+}  // namespace
+}  // namespace fireflyspar::config
