--- a/src/operators/audit_trail.cc
+++ b/src/operators/audit_trail.cc
@@ -60,8 +60,9 @@
   return read;
 }
 
-bool IsFull(const segment& value) {
-  return !value.is_readable || value.stored.value.size() >= kMaxSegmentBytes;
+bool IsFull(const context& with, const segment& value) {
+  return !value.is_readable ||
+         value.stored.value.size() >= with.audit.segment_bytes;
 }
 
 base::result<platform::object> ReadHead(const context& with,
@@ -81,7 +82,7 @@
   if (!head) return head.Failure();
   while (true) {
     auto last = ReadSegment(with, number);
-    if (!last || !IsFull(*last)) return last;
+    if (!last || !IsFull(with, *last)) return last;
     const auto next = GetOrNone(with, SegmentKey(number + 1));
     if (!next) return next.Failure();
     if (next->version == 0) return last;
@@ -99,8 +100,8 @@
   }
   constexpr std::uint64_t kLeftBehind = 3;
   for (std::uint64_t i = 0; i < kLeftBehind; ++i) {
-    if (number < kMaxSegments + i) return;
-    const auto old = Get(with, SegmentKey(number - kMaxSegments - i));
+    if (number < with.audit.segments + i) return;
+    const auto old = Get(with, SegmentKey(number - with.audit.segments - i));
     if (old) (void)with.platform.remove(old->key, old->version);
   }
 }
@@ -196,7 +197,7 @@
     auto last = LastSegment(with);
     if (!last) return last.Failure();
     if (Contains(last->entries, entry.operation_id)) return base::nothing{};
-    if (IsFull(*last)) last = segment{.number = last->number + 1};
+    if (IsFull(with, *last)) last = segment{.number = last->number + 1};
     last->entries.push_back(entry);
     const auto written = WriteSegment(with, *last, entry.operation_id);
     if (!written) return written.Failure();
--- a/src/operators/audit_trail.h
+++ b/src/operators/audit_trail.h
@@ -10,9 +10,8 @@
 //
 // Entries lie in segments, audit/N, of bounded size and number; the oldest
 // segment is dropped. audit/head says which segment is the last; it may lag by
-// one, since the segment is made before it. Worked out at 6,700 changes a day:
-// two writes for each are 0.16 a second, and 128 segments of 128 KB hold about
-// 30,000 entries of 550 bytes, or four and a half days.
+// one, since the segment is made before it. A change costs two writes here: at
+// 6,700 changes a day, 0.16 a second.
 #ifndef FIREFLYSPAR_OPERATORS_AUDIT_TRAIL_H_
 #define FIREFLYSPAR_OPERATORS_AUDIT_TRAIL_H_
 
@@ -26,9 +25,6 @@
 
 namespace fireflyspar::operators {
 
-inline constexpr std::size_t kMaxSegmentBytes = 128 * 1000;
-inline constexpr std::uint64_t kMaxSegments = 128;
-
 // Appends a pending entry, once, however often its answer is lost.
 base::status AppendEntry(const context& with, const audit_entry& entry);
 
