Test the audit trail and the operators' command line

The append's own look for a double made no difference, since the conditional write settles it; it is gone.

--- a/src/operators/audit_trail.cc
+++ b/src/operators/audit_trail.cc
@@ -196,7 +196,6 @@
   for (int tries = 0; tries < kMaxTries; ++tries) {
     auto last = LastSegment(with);
     if (!last) return last.Failure();
-    if (Contains(last->entries, entry.operation_id)) return base::nothing{};
     if (IsFull(with, *last)) last = segment{.number = last->number + 1};
     last->entries.push_back(entry);
     const auto written = WriteSegment(with, *last, entry.operation_id);
--- /dev/null
+++ b/tests/operators/audit_trail_test.cc
@@ -0,0 +1,178 @@
+#include "operators/audit_trail.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "config/preset.h"
+#include "examples.h"
+#include "fake_platform.h"
+#include "operators/preset_commands.h"
+
+namespace fireflyspar::operators {
+namespace {
+
+constexpr std::size_t kWholeTrail = 1'000'000;
+
+audit_entry Entry(const std::string& operation_id) {
+  return {.operation_id = operation_id,
+          .who = "alice",
+          .when = base::instant(std::chrono::seconds(1'700'000'000)),
+          .action = audit_action::kUsePreset,
+          .from = "version 6, preset 'ordinary'",
+          .to = "version 7, preset 'peak'",
+          .outcome = audit_outcome::kRefused,
+          .detail = "said \"no\"\n\xE7\x81\xAB",
+          .key = std::string(platform::kInForceKey),
+          .if_version = 12,
+          .mark_before = "a",
+          .mark_after = "b"};
+}
+
+TEST_CASE("entries come back from their text") {
+  const std::vector<audit_entry> entries = {Entry("1"), Entry("2")};
+  const auto read = ParseEntries(ToText(entries));
+  REQUIRE(read);
+  CHECK(*read == entries);
+  CHECK_FALSE(ParseEntries("{\"entries\":[{}]}"));
+  CHECK_FALSE(ParseEntries("{}"));
+}
+
+TEST_CASE("the trail stays bounded and keeps the latest entries in order") {
+  fake_platform store;
+  context alice = store.Operator("alice", 1);
+  alice.audit = {.segment_bytes = 2000, .segments = 4};
+  constexpr int kEntries = 300;
+  for (int i = 0; i < kEntries; ++i) {
+    REQUIRE(AppendEntry(alice, Entry(std::to_string(i))));
+  }
+  std::size_t segments = 0;
+  for (const auto& [key, object] : store.objects) {
+    CHECK(object.value.size() < config::kMaxPresetBytes);
+    if (key != "audit/head") ++segments;
+  }
+  CHECK(segments == alice.audit.segments);
+  const auto trail = ReadTrail(alice, kWholeTrail);
+  REQUIRE(trail);
+  REQUIRE(trail->size() > 8);
+  int expected = kEntries - static_cast<int>(trail->size());
+  for (const audit_entry& each : *trail) {
+    CHECK(each.operation_id == std::to_string(expected++));
+  }
+  CHECK(ReadTrail(alice, 5)->size() == 5);
+  CHECK(ReadTrail(alice, 5)->back().operation_id == "299");
+}
+
+TEST_CASE("appending through lost answers and races leaves no gap or double") {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    INFO("seed " << seed);
+    fake_platform store;
+    context alice = store.Operator("alice", seed);
+    alice.audit.segment_bytes = 2000;
+    context bob = store.Operator("bob", seed + 1000);
+    bob.audit = alice.audit;
+    const auto draw = base::SeededRandom(seed);
+    int bobs = 0;
+    bool bob_is_acting = false;
+    store.fault_of = [&](call_kind call, std::string_view) {
+      const std::uint64_t chance = draw() % 12;
+      if (chance == 0 && !bob_is_acting) {
+        bob_is_acting = true;
+        REQUIRE(AppendEntry(bob, Entry("bob" + std::to_string(bobs++))));
+        bob_is_acting = false;
+      }
+      if (call != call_kind::kPut) return call_fault::kNone;
+      if (chance == 1) return call_fault::kLostAfterEffect;
+      if (chance == 2) return call_fault::kLostWithoutEffect;
+      return call_fault::kNone;
+    };
+    constexpr int kAlices = 40;
+    for (int i = 0; i < kAlices; ++i) {
+      REQUIRE(AppendEntry(alice, Entry("alice" + std::to_string(i))));
+    }
+    store.fault_of = [](call_kind, std::string_view) {
+      return call_fault::kNone;
+    };
+    const auto trail = ReadTrail(alice, kWholeTrail);
+    REQUIRE(trail);
+    std::set<std::string> ids;
+    for (const audit_entry& each : *trail) ids.insert(each.operation_id);
+    CHECK(trail->size() == ids.size());
+    CHECK(ids.size() == static_cast<std::size_t>(kAlices + bobs));
+  }
+}
+
+TEST_CASE("a crash between a change and its note is made good by a reader") {
+  fake_platform store;
+  const context alice = store.Operator("alice", 1);
+  const context bob = store.Operator("bob", 2);
+  REQUIRE(PutPreset(alice, SmallPreset("ordinary")));
+  REQUIRE(PutPreset(alice, SmallPreset("peak")));
+  // From the write of in_force on, alice's process is gone: nothing that it
+  // sends arrives.
+  bool is_gone = false;
+  const bool landed = GENERATE(true, false);
+  store.fault_of = [&](call_kind call, std::string_view key) {
+    if (is_gone) return call_fault::kUnavailable;
+    if (call != call_kind::kPut || key != platform::kInForceKey) {
+      return call_fault::kNone;
+    }
+    is_gone = true;
+    return landed ? call_fault::kLostAfterEffect
+                  : call_fault::kLostWithoutEffect;
+  };
+  const auto told = UsePreset(alice, "ordinary");
+  REQUIRE_FALSE(told);
+  CHECK(told.Failure().Kind() == base::error_kind::kAnswerLost);
+  store.fault_of = [](call_kind, std::string_view) {
+    return call_fault::kNone;
+  };
+
+  // While the write could still land, its entry stays pending.
+  const auto read = ReadTrail(bob, kWholeTrail);
+  REQUIRE(read);
+  REQUIRE(read->size() == 3);
+  CHECK(read->back().who == "alice");
+  CHECK(read->back().outcome ==
+        (landed ? audit_outcome::kAccepted : audit_outcome::kPending));
+
+  REQUIRE(UsePreset(bob, "peak"));
+  const auto later = ReadTrail(bob, kWholeTrail);
+  REQUIRE(later->size() == 4);
+  CHECK((*later)[2].outcome ==
+        (landed ? audit_outcome::kAccepted : audit_outcome::kRefused));
+  CHECK((*later)[3].outcome == audit_outcome::kAccepted);
+}
+
+TEST_CASE("a change whose entry can't be written isn't made") {
+  fake_platform store;
+  const context alice = store.Operator("alice", 1);
+  REQUIRE(PutPreset(alice, SmallPreset("ordinary")));
+  store.fault_of = [](call_kind call, std::string_view key) {
+    const bool is_audit = key.starts_with(platform::kAuditPrefix);
+    return call == call_kind::kPut && is_audit ? call_fault::kLostWithoutEffect
+                                               : call_fault::kNone;
+  };
+  const auto told = UsePreset(alice, "ordinary");
+  REQUIRE_FALSE(told);
+  CHECK(told.Failure().Kind() == base::error_kind::kPlatformUnavailable);
+  CHECK_FALSE(store.objects.contains(platform::kInForceKey));
+}
+
+TEST_CASE("a damaged segment is left alone and keeps nobody from a change") {
+  fake_platform store;
+  const context alice = store.Operator("alice", 1);
+  REQUIRE(AppendEntry(alice, Entry("1")));
+  auto& damaged = store.objects.find("audit/0000000000")->second;
+  damaged.value = "{\"entries\":[";
+  REQUIRE(AppendEntry(alice, Entry("2")));
+  REQUIRE(AppendEntry(alice, Entry("3")));
+  const auto trail = ReadTrail(alice, kWholeTrail);
+  REQUIRE(trail);
+  CHECK(trail->size() == 2);
+  CHECK(store.objects.find("audit/0000000000")->second.value ==
+        "{\"entries\":[");
+}
+
+}  // namespace
+}  // namespace fireflyspar::operators
--- /dev/null
+++ b/tests/operators/commands_test.cc
@@ -0,0 +1,259 @@
+#include "operators/commands.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+
+#include "base/error.h"
+#include "config/preset_text.h"
+#include "examples.h"
+#include "fake_platform.h"
+#include "operators/time_text.h"
+#include "platform/records.h"
+#include "platform/status_report.h"
+
+namespace fireflyspar::operators {
+namespace {
+
+using base::error_kind;
+using nlohmann::json;
+
+int ExitCodeOf(error_kind kind) { return base::AnswerFor(kind).exit_code; }
+
+// The subcommands over a fake platform, a clock that moves only while a command
+// pauses, and files in memory.
+class shell {
+ public:
+  fake_platform store;
+  std::map<std::string, std::string> files;
+  std::map<std::string, std::string> variables = {
+      {"FIREFLYSPAR_PLATFORM_ADDRESS", "127.0.0.1:1"},
+      {"FIREFLYSPAR_OPERATOR", "alice"}};
+  std::function<void()> on_pause = [] {};
+  std::vector<std::string> node_requests;
+
+  int Run(const std::vector<std::string>& arguments) {
+    out_.str("");
+    progress_.str("");
+    const auto commands = OperatorCommands(World());
+    return base::RunCommand("fireflyspar", commands, arguments);
+  }
+
+  std::string Out() const { return out_.str(); }
+  std::string Progress() const { return progress_.str(); }
+  json OutJson() const { return json::parse(out_.str()); }
+  base::instant Now() const { return now_; }
+
+  void PutReport(const std::string& data_centre, std::uint64_t version,
+                 int behind) {
+    std::vector<platform::node_version> nodes = {
+        {.node_id = data_centre + "-ahead", .version = version}};
+    for (int i = 0; i < behind; ++i) {
+      nodes.push_back({.node_id = data_centre + "-" + std::to_string(i),
+                       .version = version - 1});
+    }
+    const std::string key = std::string(platform::kStatusPrefix) + data_centre;
+    const auto report = platform::MakeStatusReport(data_centre, nodes, now_);
+    store.objects[key] = {
+        .key = key, .version = 1'000'000, .value = ToText(report)};
+  }
+
+ private:
+  command_world World() {
+    return {
+        .out = &out_,
+        .progress = &progress_,
+        .make_platform = [this](
+                             const base::address&,
+                             std::chrono::milliseconds) { return store.Api(); },
+        .call_node =
+            [this](const node_request& request) -> base::result<std::string> {
+          node_requests.push_back(std::string(request.method) + " " +
+                                  std::string(request.path));
+          return std::string(R"({"node_id":"n1"})");
+        },
+        .read_file =
+            [this](const std::string& path) -> base::result<std::string> {
+          const auto found = files.find(path);
+          if (found != files.end()) return found->second;
+          return base::Fail(error_kind::kNotFound, path);
+        },
+        .environment =
+            [this](const std::string& name) -> std::optional<std::string> {
+          const auto found = variables.find(name);
+          if (found == variables.end()) return {};
+          return found->second;
+        },
+        .clock = [this] { return now_; },
+        .random = base::SeededRandom(++seed_),
+        .sleep =
+            [this](std::chrono::milliseconds time) {
+              now_ += time;
+              on_pause();
+            }};
+  }
+
+  std::ostringstream out_;
+  std::ostringstream progress_;
+  base::instant now_{std::chrono::seconds(1'700'000'000)};
+  std::uint64_t seed_ = 0;
+};
+
+void PutBoth(shell& at) {
+  at.files["o.json"] = ToText(SmallPreset("ordinary"));
+  at.files["p.json"] = ToText(SmallPreset("peak"));
+  REQUIRE(at.Run({"preset", "put", "o.json"}) == 0);
+  REQUIRE(at.Run({"preset", "put", "p.json"}) == 0);
+}
+
+TEST_CASE("presets are put, listed, shown and chosen from the command line") {
+  shell at;
+  PutBoth(at);
+  CHECK(at.Run({"preset", "show"}) == ExitCodeOf(error_kind::kNotFound));
+  REQUIRE(at.Run({"preset", "use", "peak", "--json"}) == 0);
+  CHECK(at.OutJson()["version"] == 1);
+  REQUIRE(at.Run({"preset", "list", "--json"}) == 0);
+  CHECK(at.OutJson()["presets"][0]["in_force"] == false);
+  CHECK(at.OutJson()["presets"][1]["in_force"] == true);
+  REQUIRE(at.Run({"preset", "show"}) == 0);
+  CHECK(std::get<config::preset>(config::ParsePreset(at.Out())) ==
+        SmallPreset("peak"));
+  REQUIRE(at.Run({"preset", "show", "ordinary", "--json"}) == 0);
+  CHECK(at.OutJson()["name"] == "ordinary");
+  CHECK(at.Run({"preset", "use", "gone"}) == ExitCodeOf(error_kind::kNotFound));
+}
+
+TEST_CASE("a preset with faults is told them all and not stored") {
+  shell at;
+  config::preset bad = SmallPreset("ordinary");
+  bad.services[0].versions[0].percent = 99;
+  bad.routes[0].service = "gone";
+  at.files["bad.json"] = ToText(bad);
+  for (const char* verb : {"check", "put"}) {
+    CHECK(at.Run({"preset", verb, "bad.json"}) ==
+          ExitCodeOf(error_kind::kBadPreset));
+    CHECK(at.Progress().find("/routes/0/service: \"gone\"") !=
+          std::string::npos);
+    CHECK(at.Run({"preset", verb, "bad.json", "--json"}) ==
+          ExitCodeOf(error_kind::kBadPreset));
+    CHECK(at.OutJson()["faults"].size() == 2);
+  }
+  CHECK(at.store.objects.empty());
+  CHECK(at.Run({"preset", "check", "no.json"}) ==
+        ExitCodeOf(error_kind::kNotFound));
+}
+
+TEST_CASE("use --wait ends when every node of every data centre has it") {
+  shell at;
+  PutBoth(at);
+  at.PutReport("fukuoka", 1, 2);
+  int pauses = 0;
+  at.on_pause = [&] {
+    if (++pauses == 3) at.PutReport("fukuoka", 1, 0);
+  };
+  REQUIRE(at.Run({"preset", "use", "peak", "--wait", "--json"}) == 0);
+  CHECK(at.OutJson()["in_force_everywhere"] == true);
+  CHECK(at.Progress().find("waiting for fukuoka: 1 of 3 nodes") !=
+        std::string::npos);
+  CHECK(pauses == 3);
+
+  // A later version that nobody tells of is not claimed to be anywhere.
+  CHECK(at.Run({"preset", "use", "ordinary", "--wait",
+                "--wait-timeout=2000"}) == ExitCodeOf(error_kind::kTimedOut));
+  CHECK(at.Progress().find("version 2 is accepted, but not yet known") !=
+        std::string::npos);
+}
+
+TEST_CASE("a move is started, waited for and taken back") {
+  shell at;
+  PutBoth(at);
+  REQUIRE(at.Run({"preset", "use", "ordinary"}) == 0);
+  const std::vector<std::string> start = {
+      "move",   "start", "--service", "equipment-history",
+      "--from", "v1",    "--to=v2",   "--by",
+      "+10m",   "--json"};
+  REQUIRE(at.Run(start) == 0);
+  const std::string id = at.OutJson()["move"];
+  CHECK(at.OutJson()["by"] == TimeText(at.Now() + std::chrono::minutes(10)));
+  CHECK(at.Run(start) == ExitCodeOf(error_kind::kConflict));
+  CHECK(at.Run({"move", "wait", id, "--wait-timeout=1000"}) ==
+        ExitCodeOf(error_kind::kTimedOut));
+
+  const std::string key = std::string(platform::kMovePrefix) + id;
+  at.on_pause = [&] {
+    auto value = *platform::ParseMove(at.store.objects[key].value);
+    value.state = decisions::move_state::kDone;
+    value.is_final = true;
+    at.store.objects[key].value = platform::ToText(value);
+  };
+  REQUIRE(at.Run({"move", "wait", id, "--json"}) == 0);
+  CHECK(at.OutJson()["state"] == "done");
+  CHECK(at.Run({"move", "take-back", id}) == ExitCodeOf(error_kind::kConflict));
+
+  at.on_pause = [] {};
+  REQUIRE(at.Run(start) == 0);
+  const std::string second = at.OutJson()["move"];
+  REQUIRE(at.Run({"move", "take-back", second}) == 0);
+  CHECK(at.Run({"move", "wait", second}) == ExitCodeOf(error_kind::kTakenBack));
+  CHECK(at.Out().find("taken back by hand by alice") != std::string::npos);
+  REQUIRE(at.Run({"move", "list", "--json"}) == 0);
+  CHECK(at.OutJson()["moves"].size() == 2);
+  CHECK(at.Run({"move", "show", "gone"}) == ExitCodeOf(error_kind::kNotFound));
+}
+
+TEST_CASE("the audit trail names who did what and what came of it") {
+  shell at;
+  PutBoth(at);
+  REQUIRE(at.Run({"preset", "use", "peak", "--operator", "bob"}) == 0);
+  REQUIRE(at.Run({"audit", "--json"}) == 0);
+  const json entries = at.OutJson()["entries"];
+  REQUIRE(entries.size() == 3);
+  CHECK(entries[0]["who"] == "alice");
+  CHECK(entries[0]["action"] == "preset put");
+  CHECK(entries[2]["who"] == "bob");
+  CHECK(entries[2]["to"] == "version 1, preset 'peak'");
+  CHECK(entries[2]["outcome"] == "accepted");
+  at.variables.erase("FIREFLYSPAR_OPERATOR");
+  REQUIRE(at.Run({"preset", "use", "ordinary"}) == 0);
+  REQUIRE(at.Run({"audit", "--json", "--limit=1"}) == 0);
+  CHECK(at.OutJson()["entries"][0]["who"] == "unknown");
+}
+
+TEST_CASE("status asks the platform or one node; drain asks the node") {
+  shell at;
+  PutBoth(at);
+  REQUIRE(at.Run({"preset", "use", "peak"}) == 0);
+  at.PutReport("fukuoka", 1, 1);
+  REQUIRE(at.Run({"status", "--json"}) == 0);
+  CHECK(at.OutJson()["in_force"]["version"] == 1);
+  CHECK(at.OutJson()["data_centres"][0]["lagging"][0] == "fukuoka-0");
+  REQUIRE(at.Run({"status", "--node-address", "127.0.0.1:2", "--json"}) == 0);
+  CHECK(at.OutJson()["node_id"] == "n1");
+  CHECK(at.Run({"drain"}) == ExitCodeOf(error_kind::kBadSettings));
+  REQUIRE(at.Run({"drain", "--node-address=127.0.0.1:2"}) == 0);
+  CHECK(at.node_requests ==
+        std::vector<std::string>{"GET /status", "POST /drain"});
+  at.variables.clear();
+  CHECK(at.Run({"status"}) == ExitCodeOf(error_kind::kBadSettings));
+}
+
+TEST_CASE("times are read strictly and written in UTC") {
+  const base::instant now(std::chrono::seconds(1'700'000'000));
+  CHECK(TimeText(now) == "2023-11-14T22:13:20Z");
+  CHECK(*ParseTime("2023-11-14T22:13:20Z", now) == now);
+  CHECK(*ParseTime("+90s", now) == now + std::chrono::seconds(90));
+  CHECK(*ParseTime("+15m", now) == now + std::chrono::minutes(15));
+  CHECK(*ParseTime("+2h", now) == now + std::chrono::hours(2));
+  for (const std::string_view bad : std::array<std::string_view, 10>{
+           "", "+", "+s", "+-1s", "+1d", "90s", "2023-11-14 22:13:20Z",
+           "2023-02-30T00:00:00Z", "2023-11-14T24:00:00Z",
+           "2023-11-14T22:13:20+09:00"}) {
+    INFO(bad);
+    CHECK_FALSE(ParseTime(bad, now));
+  }
+}
+
+}  // namespace
+}  // namespace fireflyspar::operators
