--- a/src/operators/audited_change.cc
+++ b/src/operators/audited_change.cc
@@ -9,7 +9,7 @@
 
 base::status BeginChange(const context& with, const audit_entry& entry) {
   const auto appended = AppendEntry(with, entry);
-  if (appended) return appended;
+  if (appended) return base::nothing{};
   // Its own answer may be lost, but the change's can't be: it was not sent.
   const error_kind kind = appended.Failure().Kind() == error_kind::kAnswerLost
                               ? error_kind::kPlatformUnavailable
--- a/src/operators/move_commands.cc
+++ b/src/operators/move_commands.cc
@@ -113,7 +113,7 @@
   for (int tries = 0; tries < kMaxTakeBackTries; ++tries) {
     const auto before = Get(with, entry.key);
     if (!before) return before.Failure();
-    const auto current = ParseMoveAt(*before);
+    auto current = ParseMoveAt(*before);
     if (!current) return current.Failure();
     if (current->is_final) {
       if (current->state == move_state::kDone) return DoneAlready(*current);
--- /dev/null
+++ b/tests/fuzz/delta_fuzz.cc
@@ -0,0 +1,64 @@
+// libFuzzer target: a delta made of any bytes is refused or makes the text that
+// its hash names, and the delta between any two texts joins them.
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+
+#include "base/hash.h"
+#include "config/delta.h"
+
+namespace config = fireflyspar::config;
+namespace base = fireflyspar::base;
+
+namespace {
+
+// Takes numbers and texts from the front of the input.
+class input {
+ public:
+  explicit input(std::string_view bytes) : bytes_(bytes) {}
+
+  bool Empty() const { return bytes_.empty(); }
+
+  std::uint32_t Number(std::size_t width) {
+    std::uint32_t number = 0;
+    for (const char byte : Text(width)) {
+      number = (number << 8) | static_cast<unsigned char>(byte);
+    }
+    return number;
+  }
+
+  std::string Text(std::size_t size) {
+    const std::string_view taken = bytes_.substr(0, size);
+    bytes_.remove_prefix(taken.size());
+    return std::string(taken);
+  }
+
+ private:
+  std::string_view bytes_;
+};
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  input from_bytes({reinterpret_cast<const char*>(data), size});
+  const std::string from = from_bytes.Text(from_bytes.Number(1));
+  const std::string to = from_bytes.Text(from_bytes.Number(1));
+  const config::delta made = config::MakeDelta(from, to);
+  const auto joined = config::ApplyDelta(from, made);
+  if (!joined || *joined != to) std::abort();
+
+  config::delta any = {.base_hash = made.base_hash,
+                       .result_hash = made.result_hash};
+  while (!from_bytes.Empty()) {
+    const std::size_t width = from_bytes.Number(1) % 2 == 0 ? 1 : 4;
+    any.edits.push_back({.offset = from_bytes.Number(width),
+                         .removed = from_bytes.Number(width),
+                         .added = from_bytes.Text(from_bytes.Number(1))});
+  }
+  const auto applied = config::ApplyDelta(from, any);
+  if (applied && base::ContentHash(*applied) != any.result_hash) std::abort();
+  return 0;
+}
--- /dev/null
+++ b/tests/fuzz/preset_fuzz.cc
@@ -0,0 +1,29 @@
+// libFuzzer target: whatever bytes come as a preset, reading them ends with
+// faults or with a valid preset that its text gives back.
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+#include <variant>
+
+#include "config/preset_text.h"
+#include "config/validate.h"
+
+namespace config = fireflyspar::config;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  const auto parsed = config::ParsePreset(text);
+  if (const auto* faults = std::get_if<config::faults>(&parsed)) {
+    if (faults->empty()) std::abort();
+    return 0;
+  }
+  const auto& value = std::get<config::preset>(parsed);
+  const auto again = config::ParsePreset(ToText(value));
+  const auto* same = std::get_if<config::preset>(&again);
+  if (!config::Validate(value).empty() || same == nullptr || *same != value) {
+    std::abort();
+  }
+  return 0;
+}
