--- a/src/app/commands.cc
+++ b/src/app/commands.cc
@@ -1,6 +1,9 @@
 #include "app/commands.h"
 
 #include <iostream>
+#include <span>
+#include <string>
+#include <string_view>
 
 #include "app/node.h"
 #include "operators/commands.h"
@@ -17,8 +20,8 @@
 
 }  // namespace
 
-std::vector<command> Commands() {
-  std::vector<command> commands = operators::OperatorCommands();
+std::vector<base::command> Commands() {
+  std::vector<base::command> commands = operators::OperatorCommands();
   commands.insert(commands.begin(),
                   {.name = "node",
                    .summary = "run the node beside a backend server",
