Mesh: failures between nodes, each produced by a test

Killed and restarted nodes, a cut data centre, leaving, evidence, forgotten moves, and peers that send rubbish or nothing. Found on the way: a member record with an address that is none would have ended the mesh's timer; such a failure now ends the one request, and a failed tick doesn't end the ticking.

--- a/src/nodes/mesh_loop.cc
+++ b/src/nodes/mesh_loop.cc
@@ -96,10 +96,12 @@
 }
 
 kj::Promise<void> mesh_loop::TickLoop() {
-  return timer_.afterDelay(kTick).then([this] {
-    Tick();
-    return TickLoop();
-  });
+  return timer_.afterDelay(kTick)
+      .then([this] { Tick(); })
+      .catch_([this](kj::Exception&& failure) {
+        taskFailed(std::move(failure));
+      })
+      .then([this] { return TickLoop(); });
 }
 
 void mesh_loop::Tick() {
--- a/src/nodes/peer_client.cc
+++ b/src/nodes/peer_client.cc
@@ -134,8 +134,10 @@
     tasks_.add(kj::evalLater([finish] { (*finish)(std::nullopt); }));
     return;
   }
-  const std::shared_ptr<link> used = Connect(peer);
+  std::shared_ptr<link> used;
+  // An address that a peer made up fails here, as a request, not in the caller.
   auto outcome = kj::evalNow([&] {
+    used = Connect(peer);
     return used->Ready().then([used, call = std::move(call)]() mutable {
       return call(used->Peer());
     });
@@ -149,7 +151,7 @@
                        Drop(peer, used);
                        (*finish)(std::nullopt);
                      })
-                 .attach(used));
+                 .attach(std::shared_ptr<link>(used)));
 }
 
 void peer_client::Exchange(
--- /dev/null
+++ b/tests/nodes/failure_test.cc
@@ -0,0 +1,150 @@
+// What the mesh does when nodes die, return, leave, and when data centres are
+// cut off from each other.
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "decisions/membership.h"
+#include "fleet.h"
+#include "nodes/mesh.h"
+
+namespace fireflyspar::nodes {
+namespace {
+
+using decisions::node_state;
+
+bool AllSee(fleet& nodes, const std::string& id, node_state state) {
+  return std::ranges::all_of(nodes.Running(), [&](const fleet_node* node) {
+    return node->id == id || RecordAt(*node, id).state == state;
+  });
+}
+
+void AddDataCentre(fleet& nodes, const std::string& name, int count) {
+  for (int i = 0; i < count; ++i) {
+    nodes.Add(name + "-" + std::to_string(i), name);
+  }
+}
+
+TEST_CASE("a killed node is declared dead everywhere and returns afresh") {
+  fleet nodes;
+  AddDataCentre(nodes, "fukuoka", 4);
+  AddDataCentre(nodes, "kumamoto", 2);
+  REQUIRE(Eventually([&] { return nodes.Agree(); }));
+  const auto old = RecordAt(nodes.At("fukuoka-0"), "fukuoka-2");
+  nodes.Kill("fukuoka-2");
+  CHECK(Eventually(
+      [&] { return AllSee(nodes, "fukuoka-2", node_state::kDead); }));
+  nodes.Restart("fukuoka-2");
+  CHECK(Eventually([&] { return nodes.Agree(); }));
+  const auto back = RecordAt(nodes.At("kumamoto-1"), "fukuoka-2");
+  CHECK(back.incarnation > old.incarnation);
+  CHECK(back.rpc_address != old.rpc_address);
+}
+
+TEST_CASE("a node that restarts at once wins over its old self") {
+  fleet nodes;
+  AddDataCentre(nodes, "fukuoka", 4);
+  REQUIRE(Eventually([&] { return nodes.Agree(); }));
+  nodes.Kill("fukuoka-3");
+  nodes.Restart("fukuoka-3");
+  CHECK(Eventually([&] { return nodes.Agree(); }));
+}
+
+TEST_CASE("a leaving node and a draining server are known everywhere") {
+  fleet nodes;
+  AddDataCentre(nodes, "fukuoka", 5);
+  AddDataCentre(nodes, "kumamoto", 3);
+  REQUIRE(Eventually([&] { return nodes.Agree(); }));
+  nodes.At("fukuoka-4")
+      .running->SetServer({.service = "history",
+                           .version = "v1",
+                           .slots = 6,
+                           .state = decisions::server_state::kDraining});
+  CHECK(Eventually([&] {
+    return std::ranges::all_of(nodes.Running(), [](const fleet_node* node) {
+      return RecordAt(*node, "fukuoka-4").server.state ==
+             decisions::server_state::kDraining;
+    });
+  }));
+  nodes.At("fukuoka-4").running->Leave();
+  CHECK(Eventually(
+      [&] { return AllSee(nodes, "fukuoka-4", node_state::kLeft); }));
+  CHECK_FALSE(nodes.At("fukuoka-4").running->HasJob("watch", 100));
+}
+
+TEST_CASE("a data centre that is cut off goes on alone and heals") {
+  fleet nodes;
+  AddDataCentre(nodes, "fukuoka", 3);
+  AddDataCentre(nodes, "kumamoto", 3);
+  AddDataCentre(nodes, "kagoshima", 3);
+  REQUIRE(Eventually([&] { return nodes.Agree(); }));
+  nodes.Cut("kagoshima", true);
+  nodes.At("fukuoka-1").running->Offer(Configuration(5));
+  nodes.At("kagoshima-1").running->Offer(Configuration(4));
+  CHECK(Eventually([&] {
+    return nodes.AllHold(5, "fukuoka") && nodes.AllHold(5, "kumamoto") &&
+           nodes.AllHold(4, "kagoshima");
+  }));
+  // A move taken back on one side of the cut is so there, and later on both.
+  const decisions::move taken_back{.id = "m",
+                                   .state = decisions::move_state::kTakenBack};
+  nodes.At("kagoshima-0").running->Offer(decisions::move{.id = "m"});
+  nodes.At("fukuoka-0").running->Offer(taken_back);
+  nodes.Kill("kagoshima-2");
+  CHECK(Eventually([&] {
+    return RecordAt(nodes.At("kagoshima-1"), "kagoshima-2").state ==
+           node_state::kDead;
+  }));
+  CHECK(RecordAt(nodes.At("fukuoka-1"), "kagoshima-2").state ==
+        node_state::kAlive);
+  nodes.Cut("kagoshima", false);
+  CHECK(Eventually([&] { return nodes.AllHold(5) && nodes.Agree(); }));
+  CHECK(Eventually([&] {
+    return std::ranges::all_of(nodes.Running(), [](const fleet_node* node) {
+      const auto view = node->running->View();
+      return view->moves.size() == 1 &&
+             view->moves.front().state == decisions::move_state::kTakenBack;
+    });
+  }));
+}
+
+TEST_CASE("a forgotten move goes everywhere") {
+  fleet nodes;
+  AddDataCentre(nodes, "fukuoka", 4);
+  REQUIRE(Eventually([&] { return nodes.Agree(); }));
+  const auto count = [&](std::size_t wanted) {
+    return std::ranges::all_of(nodes.Running(), [&](const fleet_node* node) {
+      return node->running->View()->moves.size() == wanted;
+    });
+  };
+  nodes.At("fukuoka-1").running->Offer(decisions::move{.id = "m"});
+  CHECK(Eventually([&] { return count(1); }));
+  nodes.At("fukuoka-2").running->Forget("m");
+  CHECK(Eventually([&] { return count(0); }));
+  nodes.At("fukuoka-3").running->Offer(decisions::move{.id = "m"});
+  nodes.At("fukuoka-3").running->Offer(decisions::move{.id = "n"});
+  CHECK(Eventually([&] { return count(1); }));
+}
+
+TEST_CASE("evidence reaches the judges of its move, who know that they are") {
+  fleet nodes;
+  AddDataCentre(nodes, "fukuoka", 5);
+  AddDataCentre(nodes, "kumamoto", 3);
+  REQUIRE(Eventually([&] { return nodes.Agree(); }));
+  nodes.At("fukuoka-1")
+      .running->SendEvidence(
+          {.move_id = "m", .node_id = "fukuoka-1", .data_centre = "fukuoka"});
+  const auto judges = [&] {
+    return std::ranges::count_if(nodes.Running(), [](const fleet_node* node) {
+      return node->evidence_reports.load() > 0;
+    });
+  };
+  CHECK(Eventually([&] { return judges() == 2; }));
+  for (const fleet_node* node : nodes.Running()) {
+    const bool is_judge = node->data_centre == "fukuoka" &&
+                          node->running->HasJob(JudgeJob("m"), kJudges);
+    CHECK(is_judge == (node->evidence_reports.load() > 0));
+  }
+}
+
+}  // namespace
+}  // namespace fireflyspar::nodes
--- /dev/null
+++ b/tests/nodes/hostile_peer_test.cc
@@ -0,0 +1,166 @@
+// Peers that are not what they should be: bytes that are no message, sizes that
+// are not meant, sockets that accept and never answer.
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <string>
+
+#include "fleet.h"
+#include "nodes/mesh.h"
+
+namespace fireflyspar::nodes {
+namespace {
+
+// A plain TCP socket.
+class raw_socket {
+ public:
+  raw_socket() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {}
+  ~raw_socket() { close(fd_); }
+  raw_socket(const raw_socket&) = delete;
+  raw_socket& operator=(const raw_socket&) = delete;
+
+  bool Connect(const base::address& to) {
+    const sockaddr_in address = ToSockaddr(to);
+    return connect(fd_, reinterpret_cast<const sockaddr*>(&address),
+                   sizeof(address)) == 0;
+  }
+
+  // Accepts connections, as far as the kernel does, and never reads.
+  base::address Listen() {
+    sockaddr_in address = ToSockaddr({.ip = "127.0.0.1", .port = 0});
+    bind(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    listen(fd_, 16);
+    socklen_t size = sizeof(address);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
+    return {.ip = "127.0.0.1", .port = ntohs(address.sin_port)};
+  }
+
+  void Send(const std::string& bytes) {
+    [[maybe_unused]] const auto sent =
+        send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+
+  // Reads until the other side closes; false when that does not happen.
+  bool WaitForClose() {
+    const timeval limit{.tv_sec = 60};
+    setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    char buffer[256];
+    for (;;) {
+      const auto size = recv(fd_, buffer, sizeof(buffer), 0);
+      if (size == 0) return true;
+      if (size < 0) return errno == ECONNRESET;
+    }
+  }
+
+ private:
+  static sockaddr_in ToSockaddr(const base::address& from) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(from.port);
+    inet_pton(AF_INET, from.ip.c_str(), &address.sin_addr);
+    return address;
+  }
+
+  const int fd_;
+};
+
+std::int64_t ClosedHere(fleet_node& node) {
+  return node.metrics.Counter("fireflyspar_node_connection_faults_total",
+                              "reason=\"closed_here\"");
+}
+
+std::string Words(std::initializer_list<std::uint32_t> words) {
+  std::string bytes;
+  for (const std::uint32_t word : words) {
+    bytes.append(reinterpret_cast<const char*>(&word), sizeof(word));
+  }
+  return bytes;
+}
+
+TEST_CASE("a message of a huge declared size closes its connection only") {
+  fleet nodes;
+  fleet_node& node = nodes.Add("a", "fukuoka");
+  raw_socket socket;
+  REQUIRE(socket.Connect(node.running->RpcAddress()));
+  // One segment of 0x0fffffff words: 2 GB.
+  socket.Send(Words({0, 0x0fffffff}));
+  CHECK(socket.WaitForClose());
+  CHECK(Eventually([&] { return ClosedHere(node) == 1; }));
+  nodes.Add("b", "fukuoka");
+  CHECK(Eventually([&] { return nodes.Agree(); }));
+}
+
+TEST_CASE("random bytes close their connection and nothing else") {
+  fleet nodes;
+  fleet_node& node = nodes.Add("a", "fukuoka");
+  std::mt19937 random(1);
+  for (int i = 0; i < 50; ++i) {
+    raw_socket socket;
+    REQUIRE(socket.Connect(node.running->RpcAddress()));
+    std::string bytes;
+    // Every fourth begins as a message of few words does.
+    if (i % 4 == 0) bytes = Words({0, 4});
+    for (int n = 0; n < 400; ++n) {
+      bytes.push_back(static_cast<char>(random()));
+    }
+    socket.Send(bytes);
+  }
+  node.running->Offer(Configuration(1));
+  nodes.Add("b", "fukuoka");
+  CHECK(Eventually([&] { return nodes.Agree() && nodes.AllHold(1); }));
+}
+
+TEST_CASE("seeds that accept and never answer do not hold up joining") {
+  fleet nodes;
+  fleet_node& first = nodes.Add("a", "fukuoka");
+  raw_socket hung;
+  const base::address black_hole = hung.Listen();
+  mesh late({.node_id = "b",
+             .data_centre = "fukuoka",
+             .rpc_address = {.ip = "127.0.0.1"},
+             .seeds = {black_hole},
+             .clock = base::SystemClock(),
+             .random = base::SystemRandom()});
+  REQUIRE(late.Start());
+  late.AddSeeds({first.running->RpcAddress()});
+  CHECK(Eventually([&] { return late.View()->members.size() == 2; }));
+  CHECK(late.PeersHeard() == 1);
+}
+
+TEST_CASE("a member record with a senseless address harms nobody") {
+  fleet nodes;
+  fleet_node& node = nodes.Add("a", "fukuoka");
+  // A node that tells others an address of the unspecified kind.
+  mesh odd({.node_id = "odd",
+            .data_centre = "fukuoka",
+            .rpc_address = {.ip = "0.0.0.0"},
+            .seeds = {node.running->RpcAddress()},
+            .clock = base::SystemClock(),
+            .random = base::SystemRandom()});
+  REQUIRE(odd.Start());
+  CHECK(Eventually([&] { return node.running->View()->members.size() == 2; }));
+  nodes.Add("b", "fukuoka");
+  node.running->Offer(Configuration(1));
+  CHECK(Eventually([&] { return nodes.AllHold(1); }));
+}
+
+TEST_CASE("a taken port is a failure to start, told with the address") {
+  raw_socket taken;
+  const base::address address = taken.Listen();
+  mesh node({.node_id = "a",
+             .data_centre = "fukuoka",
+             .rpc_address = address,
+             .clock = base::SystemClock(),
+             .random = base::SystemRandom()});
+  const base::status started = node.Start();
+  REQUIRE_FALSE(started);
+  CHECK(started.Failure().Kind() == base::error_kind::kBadSettings);
+  CHECK_THAT(started.Failure().detail, Catch::Contains(address.ToText()));
+}
+
+}  // namespace
+}  // namespace fireflyspar::nodes
