--- a/src/nodes/mesh_loop.cc
+++ b/src/nodes/mesh_loop.cc
@@ -98,9 +98,8 @@
 kj::Promise<void> mesh_loop::TickLoop() {
   return timer_.afterDelay(kTick)
       .then([this] { Tick(); })
-      .catch_([this](kj::Exception&& failure) {
-        taskFailed(std::move(failure));
-      })
+      .catch_(
+          [this](kj::Exception&& failure) { taskFailed(std::move(failure)); })
       .then([this] { return TickLoop(); });
 }
 
@@ -204,7 +203,7 @@
   client_.Exchange(target,
                    {.sender = options_.node_id,
                     .sender_address = members_.Self().rpc_address},
-                   [fulfiller](std::optional<gossip> answer) {
+                   [fulfiller](const std::optional<gossip>& answer) {
                      (*fulfiller)->fulfill(answer.has_value());
                    });
   return std::move(outcome.promise);
--- a/tests/nodes/hostile_peer_test.cc
+++ b/tests/nodes/hostile_peer_test.cc
@@ -32,8 +32,9 @@
   // Accepts connections, as far as the kernel does, and never reads.
   base::address Listen() {
     sockaddr_in address = ToSockaddr({.ip = "127.0.0.1", .port = 0});
-    bind(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    listen(fd_, 16);
+    REQUIRE(bind(fd_, reinterpret_cast<const sockaddr*>(&address),
+                 sizeof(address)) == 0);
+    REQUIRE(listen(fd_, 16) == 0);
     socklen_t size = sizeof(address);
     getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
     return {.ip = "127.0.0.1", .port = ntohs(address.sin_port)};
