--- a/src/backend_servers/exchange.cc
+++ b/src/backend_servers/exchange.cc
@@ -73,6 +73,12 @@
   // An answer that ends where its connection ends can't be told from a cut one.
   if (!to_head && parser->need_eof()) co_return http::error::partial_message;
   answer = parser->release();
+  if (answer.chunked()) {
+    // The chunks have been put together; from here on the length is known.
+    answer.erase(http::field::transfer_encoding);
+    answer.erase(http::field::trailer);
+    if (!to_head) answer.content_length(answer.body().size());
+  }
   co_return error;
 }
 
@@ -122,9 +128,8 @@
     result = Failed(cancel, error, true);
     co_return result;
   }
-  if (options.check_exchange_id &&
-      HeaderOf(result.answer, kExchangeHeader) !=
-          HeaderOf(request, kExchangeHeader)) {
+  if (options.check_exchange_id && HeaderOf(result.answer, kExchangeHeader) !=
+                                       HeaderOf(request, kExchangeHeader)) {
     result.sent = true;
     result.detail = "the answer belongs to another request";
     co_return result;
--- a/src/app/command.h
+++ b/src/base/command.h
@@ -1,14 +1,14 @@
 // The subcommands of the one binary. Each is a function from its arguments to
 // an exit code, so that a test can call it as the shell would.
-#ifndef FIREFLYSPAR_APP_COMMAND_H_
-#define FIREFLYSPAR_APP_COMMAND_H_
+#ifndef FIREFLYSPAR_BASE_COMMAND_H_
+#define FIREFLYSPAR_BASE_COMMAND_H_
 
 #include <functional>
 #include <span>
 #include <string>
 #include <string_view>
 
-namespace fireflyspar::app {
+namespace fireflyspar::base {
 
 struct command {
   std::string_view name;
@@ -22,6 +22,6 @@
 int RunCommand(std::string_view program, std::span<const command> commands,
                std::span<const std::string> arguments);
 
-}  // namespace fireflyspar::app
+}  // namespace fireflyspar::base
 
-#endif  // FIREFLYSPAR_APP_COMMAND_H_
+#endif  // FIREFLYSPAR_BASE_COMMAND_H_
--- a/tests/callers/small_fleet.h
+++ b/tests/callers/small_fleet.h
@@ -26,6 +26,7 @@
   lab::backend_server_options server{.service = "stock"};
   // Where the gate finds the server; port 0: the server above.
   base::address server_address;
+  std::chrono::milliseconds read_timeout{10'000};
 };
 
 class small_fleet {
@@ -64,8 +65,8 @@
 };
 
 // Sends one request on a connection of its own and gives the whole answer.
-backend_servers::http_response CallOnce(
-    const base::address& to, backend_servers::http_request request);
+backend_servers::http_response CallOnce(const base::address& to,
+                                        backend_servers::http_request request);
 
 backend_servers::http_request Get(const std::string& target);
 backend_servers::http_request Post(const std::string& target,
