--- a/lab/experiments.cc
+++ b/lab/experiments.cc
@@ -1,5 +1,6 @@
 #include "lab/experiments.h"
 
+#include "lab/mesh_experiments.h"
 #include "lab/move_experiment.h"
 
 namespace fireflyspar::lab {
@@ -9,6 +10,12 @@
       {.name = "moves-decisions",
        .summary = "good and bad versions judged in virtual time",
        .run = RunMoveExperiment},
+      {.name = "convergence",
+       .summary = "time until a configuration is in force at every node",
+       .run = RunConvergenceExperiment},
+      {.name = "control-cost",
+       .summary = "bytes and processor time that nodes spend on each other",
+       .run = RunControlCostExperiment},
   };
 }
 
