Tell the status's writers which version each node holds

Each node now tells the two holders of the status job at once when its version changes, and every 5 s.

--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -233,8 +233,6 @@
   const config::version_id& id = view->configuration->id;
   if (id.version == configuration_version_) return;
   configuration_version_ = id.version;
-  metrics_.Gauge("fireflyspar_configuration_version")
-      .store(static_cast<std::int64_t>(id.version));
   base::LogInfo("configuration_in_force",
                 {{"version", std::to_string(id.version)},
                  {"preset", view->configuration->content.name},
--- a/src/app/platform_jobs.cc
+++ b/src/app/platform_jobs.cc
@@ -85,12 +85,20 @@
       .clock = options_.clock,
       .random = options_.random,
       .metrics = options_.metrics,
-      .objects = {platform::KeptRoster({
-          .data_centre = options_.data_centre,
-          .random = options_.random,
-          .has_job = [this] { return HasJob(std::string(kRosterJob)); },
-          .living = [this] { return LivingAddresses(); },
-      })},
+      .objects =
+          {platform::KeptRoster({
+               .data_centre = options_.data_centre,
+               .random = options_.random,
+               .has_job = [this] { return HasJob(std::string(kRosterJob)); },
+               .living = [this] { return LivingAddresses(); },
+           }),
+           platform::KeptStatusReport({
+               .data_centre = options_.data_centre,
+               .clock = options_.clock,
+               .has_job =
+                   [this] { return HasJob(std::string(nodes::kStatusJob)); },
+               .observe = [this] { return LivingVersions(); },
+           })},
   };
 }
 
@@ -115,6 +123,21 @@
   return living;
 }
 
+std::vector<platform::node_version> platform_jobs::LivingVersions() const {
+  const auto view = options_.mesh->View();
+  const auto heard = options_.mesh->HeardVersions();
+  std::vector<platform::node_version> versions;
+  for (const decisions::member_record& member : view->members) {
+    if (member.data_centre != options_.data_centre || !IsLiving(member)) {
+      continue;
+    }
+    const auto found = heard.find(member.node_id);
+    versions.push_back({.node_id = member.node_id,
+                        .version = found == heard.end() ? 0 : found->second});
+  }
+  return versions;
+}
+
 // Those that the preset lists, so that a data centre that is cut off is still
 // waited for; else those that are known.
 std::vector<std::string> platform_jobs::NeededDataCentres() const {
--- a/src/app/platform_jobs.h
+++ b/src/app/platform_jobs.h
@@ -19,6 +19,7 @@
 #include "platform/object_keeper.h"
 #include "platform/outcome_writer.h"
 #include "platform/relay.h"
+#include "platform/status_report.h"
 
 namespace fireflyspar::app {
 
@@ -59,6 +60,7 @@
   platform::object_keeper_options KeeperOptions();
   platform::outcome_writer_options WriterOptions();
   std::vector<base::address> LivingAddresses() const;
+  std::vector<platform::node_version> LivingVersions() const;
   std::vector<std::string> NeededDataCentres() const;
 
   platform_jobs_options options_;
--- a/src/nodes/mesh.cc
+++ b/src/nodes/mesh.cc
@@ -86,6 +86,11 @@
     return view_;
   }
 
+  std::map<std::string, std::uint64_t> HeardVersions() const {
+    const std::lock_guard lock(view_mutex_);
+    return heard_versions_;
+  }
+
   const mesh_options& Options() const { return options_; }
   base::address Bound() const { return bound_; }
   int PeersHeard() const { return peers_heard_.load(); }
@@ -156,7 +161,12 @@
                   }
                   if (options_.on_change) options_.on_change(std::move(view));
                 },
-            .set_peers_heard = [this](int count) { peers_heard_ = count; }};
+            .set_peers_heard = [this](int count) { peers_heard_ = count; },
+            .note_version =
+                [this](const std::string& node_id, std::uint64_t version) {
+                  const std::lock_guard lock(view_mutex_);
+                  heard_versions_[node_id] = version;
+                }};
   }
 
   mesh_options options_;
@@ -171,6 +181,7 @@
 
   mutable std::mutex view_mutex_;
   decisions::fleet_view_ptr view_;
+  std::map<std::string, std::uint64_t> heard_versions_;  // Under view_mutex_.
 
   std::thread thread_;
 };
@@ -216,6 +227,10 @@
 
 base::address mesh::RpcAddress() const { return state_->Bound(); }
 
+std::map<std::string, std::uint64_t> mesh::HeardVersions() const {
+  return state_->HeardVersions();
+}
+
 int mesh::PeersHeard() const { return state_->PeersHeard(); }
 
 bool mesh::HasJob(const std::string& job, std::size_t count) const {
--- a/src/nodes/mesh.h
+++ b/src/nodes/mesh.h
@@ -6,9 +6,12 @@
 #define FIREFLYSPAR_NODES_MESH_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/address.h"
@@ -25,6 +28,11 @@
 std::string JudgeJob(const std::string& move_id);
 inline constexpr std::size_t kJudges = 2;
 
+// The job of writing the data centre's status. Each node tells its holders
+// which configuration version it has, see mesh::HeardVersions.
+inline constexpr std::string_view kStatusJob = "status";
+inline constexpr std::size_t kStatusHolders = 2;
+
 inline constexpr int kMostPeersHeard = 64;
 
 struct mesh_options {
@@ -94,6 +102,10 @@
   // version that any of them held.
   int PeersHeard() const;
 
+  // The greatest configuration version that each node has told this one, by
+  // node id. Whole for this data centre only at a holder of kStatusJob.
+  std::map<std::string, std::uint64_t> HeardVersions() const;
+
   // True when this node is among the first `count` of its data centre's living
   // nodes for the job (decisions/rendezvous.h).
   bool HasJob(const std::string& job, std::size_t count) const;
--- a/src/nodes/mesh_loop.cc
+++ b/src/nodes/mesh_loop.cc
@@ -26,6 +26,11 @@
 
 constexpr duration kCompareAcrossInterval = milliseconds(500);
 
+// The holders of the status job are told a node's version at once when it
+// changes, and again so often, in case a message or a holder was lost. At 500
+// nodes in a data centre a holder hears 100 of these a second.
+constexpr duration kTellVersionInterval = seconds(5);
+
 // Seeds are tried until one answers, then seldom, so that parts of the fleet
 // that lost each other find back.
 constexpr duration kJoinFirstDelay = milliseconds(250);
@@ -108,6 +113,7 @@
   members_.Tick(now);
   if (now >= next_join_) Join(now);
   if (now >= next_compare_across_) CompareAcross(now);
+  if (now >= next_tell_version_) TellVersion(now);
   client_.CloseIdle();
   CountLoad();
   AfterEvent();
@@ -143,6 +149,25 @@
   }
 }
 
+void mesh_loop::TellVersion(base::instant now) {
+  next_tell_version_ = now + kTellVersionInterval;
+  outputs_.note_version(options_.node_id, configuration_.Version());
+  std::vector<std::string> ids{options_.node_id};
+  for (const auto* peer : members_.LivingPeers(options_.data_centre)) {
+    ids.push_back(peer->node_id);
+  }
+  const std::string job = JobKey(std::string(kStatusJob), options_.data_centre);
+  const gossip message{.sender = options_.node_id,
+                       .sender_address = members_.Self().rpc_address,
+                       .configuration = configuration_.Version()};
+  for (const std::string& holder :
+       decisions::ChooseByRendezvous(job, ids, kStatusHolders)) {
+    if (holder == options_.node_id) continue;
+    client_.Exchange(members_.Find(holder)->record.rpc_address, message,
+                     [](const std::optional<gossip>&) {});
+  }
+}
+
 void mesh_loop::CountLoad() {
   timespec used{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
@@ -304,6 +329,7 @@
 }
 
 void mesh_loop::Heard(const gossip& message) {
+  outputs_.note_version(message.sender, message.configuration);
   if (message.configuration <= configuration_.Version()) return;
   if (tellers_.size() < kMaxTellers ||
       tellers_.contains(message.sender_address)) {
@@ -376,10 +402,8 @@
 }
 
 void mesh_loop::OnTaken() {
-  base::LogInfo("configuration_taken",
-                {{"version", std::to_string(configuration_.Version())},
-                 {"hash", configuration_.Hash()}});
   dissemination_.ConfigurationChanged();
+  TellVersion(Now());
   SchedulePublish();
   AfterEvent();
 }
--- a/src/nodes/mesh_loop.h
+++ b/src/nodes/mesh_loop.h
@@ -30,6 +30,9 @@
 struct mesh_outputs {
   std::function<void(decisions::fleet_view_ptr)> publish;
   std::function<void(int)> set_peers_heard;
+  // A node told the configuration version that it holds.
+  std::function<void(const std::string& node_id, std::uint64_t version)>
+      note_version;
 };
 
 class mesh_loop final : private kj::TaskSet::ErrorHandler {
@@ -78,6 +81,7 @@
   void ProbeThroughOthers(const decisions::indirect_probe& request);
   kj::Promise<bool> ProbeFor(const base::address& target);
   void Heard(const gossip& message);
+  void TellVersion(base::instant now);
 
   // Configurations.
   void Pull();
@@ -107,6 +111,7 @@
   std::set<std::string> peers_heard_;
   base::instant next_join_;
   base::instant next_compare_across_;
+  base::instant next_tell_version_;
   int joins_failed_ = 0;
   base::instant last_push_;
   base::instant last_publish_;
