--- a/src/operators/audit_trail.cc
+++ b/src/operators/audit_trail.cc
@@ -131,6 +131,9 @@
     const auto outcome = OutcomeOf(each, *now, all);
     if (!outcome) continue;
     each.outcome = *outcome;
+    if (outcome == audit_outcome::kRefused) {
+      each.detail = "another change came first";
+    }
     changed = true;
   }
   return changed;
--- a/tests/operators/faults_test.cc
+++ b/tests/operators/faults_test.cc
@@ -313,7 +313,7 @@
     auto value = *platform::ParseMove(store.objects[key].value);
     value.state = state;
     value.is_final = is_final;
-    value.ready_data_centres.push_back("fukuoka");
+    value.ready_data_centres.emplace_back("fukuoka");
     REQUIRE(store.Api().put(key, platform::ToText(value),
                             store.objects[key].version));
   };
