--- a/lab/platform_stand_in.cc
+++ b/lab/platform_stand_in.cc
@@ -19,6 +19,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/log.h"
 #include "lab/platform_store.h"
 
 namespace fireflyspar::lab {
@@ -45,10 +46,10 @@
   wanted.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof wanted;
   auto* generic = reinterpret_cast<sockaddr*>(&wanted);
-  ::bind(handle, generic, size);
-  ::getsockname(handle, generic, &size);
+  const bool bound = ::bind(handle, generic, size) == 0 &&
+                     ::getsockname(handle, generic, &size) == 0;
   ::close(handle);
-  return ntohs(wanted.sin_port);
+  return bound ? ntohs(wanted.sin_port) : 0;
 }
 
 std::uint64_t NumberOf(std::string_view text) {
@@ -102,6 +103,12 @@
   return found == request.headers().end() ? 0 : NumberOf(found->second);
 }
 
+// A client that goes away within an exchange is no fault of the stand-in's.
+void LogBroken(const std::exception& error) {
+  base::Log(base::log_level::kDebug, "exchange_broken",
+            {{"error", error.what()}});
+}
+
 struct parked_watch {
   http_request request;
   std::string prefix;
@@ -126,7 +133,7 @@
 
  private:
   double tokens_ = 0;
-  steady_clock::time_point filled_at_{};
+  steady_clock::time_point filled_at_;
 };
 
 }  // namespace
@@ -185,7 +192,7 @@
     try {
       auto listener = std::make_unique<http_listener>(
           web::uri("http://" + address_.ToText()));
-      listener->support([weak = weak_from_this()](http_request request) {
+      listener->support([weak = weak_from_this()](const http_request& request) {
         if (const auto self = weak.lock()) self->Handle(request);
       });
       listener->open().wait();
@@ -210,8 +217,8 @@
     AnswerAll(waiting);
     try {
       if (listener_) listener_->close().wait();
-    } catch (const std::exception&) {
-      // Nothing is left to close.
+    } catch (const std::exception& error) {
+      LogBroken(error);
     }
     listener_.reset();
   }
@@ -263,8 +270,8 @@
             const auto bytes = read.get();
             self->HandleCall(request, path,
                              std::string(bytes.begin(), bytes.end()));
-          } catch (const std::exception&) {
-            // The client went away within its request.
+          } catch (const std::exception& error) {
+            LogBroken(error);
           }
         });
   }
@@ -281,8 +288,8 @@
                                  : ErrorAnswer(status_codes::BadRequest,
                                                faults.Failure().detail));
             if (faults) self->SetFaults(*faults);
-          } catch (const std::exception&) {
-            // The client went away within its request.
+          } catch (const std::exception& error) {
+            LogBroken(error);
           }
         });
   }
@@ -456,8 +463,8 @@
     request.reply(response).then([](const pplx::task<void>& sent) {
       try {
         sent.get();
-      } catch (const std::exception&) {
-        // The client went away before its answer.
+      } catch (const std::exception& error) {
+        LogBroken(error);
       }
     });
   }
@@ -495,7 +502,7 @@
   std::multimap<steady_clock::time_point, std::function<void()>> timed_;
   std::vector<platform::object> old_answer_;
   bool repeat_old_answer_ = false;
-  steady_clock::time_point second_began_{};
+  steady_clock::time_point second_began_;
   std::int64_t calls_this_second_ = 0;
 };
 
