--- /dev/null
+++ b/lab/experiments.cc
@@ -0,0 +1,27 @@
+#include "lab/experiments.h"
+
+#include "lab/mesh_experiments.h"
+#include "lab/move_experiment.h"
+
+namespace fireflyspar::lab {
+
+std::vector<base::command> Experiments() {
+  return {
+      {.name = "moves-decisions",
+       .summary = "good and bad versions judged in virtual time",
+       .run = RunMoveExperiment},
+      {.name = "convergence",
+       .summary = "time until a configuration is in force at every node",
+       .run = RunConvergenceExperiment},
+      {.name = "control-cost",
+       .summary = "bytes and processor time that nodes spend on each other",
+       .run = RunControlCostExperiment},
+  };
+}
+
+int RunExperiment(std::span<const std::string> arguments) {
+  return base::RunCommand("fireflyspar-lab experiment", Experiments(),
+                          arguments);
+}
+
+}  // namespace fireflyspar::lab
--- a/src/callers/call_path.h
+++ b/src/callers/call_path.h
@@ -6,6 +6,7 @@
 #ifndef FIREFLYSPAR_CALLERS_CALL_PATH_H_
 #define FIREFLYSPAR_CALLERS_CALL_PATH_H_
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -27,6 +28,10 @@
   base::address inside_address;   // Callers within the mesh.
   base::address gate_address;     // Other nodes' calls for the local server.
   int workers = 2;                // Threads.
+
+  // A request must be whole this long after its first byte.
+  std::chrono::milliseconds read_timeout{10'000};
+
   base::clock_hook clock;
   base::random_hook random;
   base::metrics* metrics = nullptr;
@@ -43,6 +48,14 @@
   std::function<void(const decisions::call_outcome&)> on_outcome;
 };
 
+// Where the listeners are bound: as in the options, with the port that the
+// system chose in place of 0.
+struct bound_addresses {
+  base::address outside;
+  base::address inside;
+  base::address gate;
+};
+
 class call_path {
  public:
   explicit call_path(call_path_options options);
@@ -58,6 +71,9 @@
   // everything finished.
   bool Finish(std::chrono::milliseconds limit);
 
+  // After Start.
+  bound_addresses Bound() const;
+
  private:
   class state;
   std::unique_ptr<state> state_;
--- a/src/decisions/move_tracker.cc
+++ b/src/decisions/move_tracker.cc
@@ -19,6 +19,9 @@
 // A node without an is_judge hook is a judge this long after a report came in.
 constexpr base::duration kJudgeFor = std::chrono::seconds(5);
 
+// How long a suspicion holds the share down after it was last renewed.
+constexpr base::duration kCautionFor = std::chrono::milliseconds(1500);
+
 constexpr int kPercent = 100;
 
 }  // namespace
@@ -30,7 +33,7 @@
   options_.policy = policy;
 }
 
-void move_tracker::SetMoves(std::span<const move> moves, base::instant) {
+void move_tracker::SetMoves(std::span<const move> moves, base::instant now) {
   const double pooled_budget = kFalseAlarmBudget * kHalf;
   const double own_budget =
       pooled_budget / std::max(options_.expected_nodes, 1);
@@ -41,6 +44,7 @@
     tracked& of = moves_.try_emplace(heard.id, heard, own_budget, pooled_budget)
                       .first->second;
     of.value = decisions::Merge(of.value, heard);
+    NoteCaution(of, now);
     // Two moves of a service would shift the same calls; the later one waits
     // until the outcome of the earlier one is final.
     if (of.value.is_final) continue;
@@ -50,10 +54,32 @@
       moves_, [&](const auto& entry) { return !known.contains(entry.first); });
 }
 
-void move_tracker::Record(const call_outcome& outcome, base::instant) {
+void move_tracker::Record(const call_outcome& outcome, base::instant now) {
   const auto found = running_.find(outcome.service);
   if (found == running_.end()) return;
-  found->second->evidence.Record(found->second->value, outcome);
+  // What counts is how calls were shared out when this one was dispatched.
+  // Were it put down to the moment of its answer, slow answers would fall among
+  // calls that were shared out otherwise.
+  tracked& of = *found->second;
+  of.evidence.Record(of.value, outcome, WasCautious(of, now - outcome.latency));
+}
+
+void move_tracker::NoteCaution(tracked& of, base::instant now) {
+  constexpr std::size_t kMostStretches = 8;
+  const base::instant until = of.value.cautious_until;
+  if (until <= now) return;
+  if (!of.cautious.empty() && now <= of.cautious.back().until) {
+    of.cautious.back().until = std::max(of.cautious.back().until, until);
+    return;
+  }
+  if (of.cautious.size() == kMostStretches) of.cautious.pop_front();
+  of.cautious.push_back({.from = now, .until = until});
+}
+
+bool move_tracker::WasCautious(const tracked& of, base::instant at) {
+  return std::ranges::any_of(of.cautious, [&](const stretch& one) {
+    return one.from <= at && at < one.until;
+  });
 }
 
 void move_tracker::Merge(const evidence_report& report, base::instant now) {
@@ -80,8 +106,12 @@
   }
   if (heard.state != move_state::kRunning) return 0;
   if (of.value.state != move_state::kRunning || of.is_waiting) return 0;
-  const int cleared = std::max(heard.cleared_percent, of.value.cleared_percent);
-  return AllowedShare(of.value, options_.policy, cleared, now);
+  const earned_share earned{
+      .cleared_percent =
+          std::max(heard.cleared_percent, of.value.cleared_percent),
+      .cautious_until =
+          std::max({heard.cautious_until, of.value.cautious_until})};
+  return AllowedShare(of.value, options_.policy, earned, now);
 }
 
 move_effects move_tracker::Tick(base::instant now) {
@@ -90,6 +120,7 @@
     if (of->value.state != move_state::kRunning) continue;
     Report(*of, now, effects);
     Judge(*of, now, effects);
+    Suspect(*of, now, effects);
     Bake(*of, now, effects);
   }
   return effects;
@@ -131,20 +162,34 @@
   if (!IsJudge(of, now)) return;
   if (of.pooled.ClearedPercent() <= of.value.cleared_percent) return;
   of.value.cleared_percent = of.pooled.ClearedPercent();
-  effects.cleared.push_back(of.value);
+  effects.updates.push_back(of.value);
+}
+
+void move_tracker::Suspect(tracked& of, base::instant now,
+                           move_effects& effects) {
+  if (of.value.state != move_state::kRunning) return;
+  if (!IsJudge(of, now) || !of.pooled.WantsCaution()) return;
+  // Renewed when half of it is over, so that few messages are sent.
+  if (of.value.cautious_until - now > kCautionFor / 2) return;
+  of.value.cautious_until = now + kCautionFor;
+  NoteCaution(of, now);
+  effects.updates.push_back(of.value);
 }
 
 void move_tracker::Bake(tracked& of, base::instant now, move_effects& effects) {
-  const bool is_full =
-      of.value.state == move_state::kRunning && IsJudge(of, now) &&
-      of.value.cleared_percent >= kPercent && !of.pooled.IsSuspicious() &&
-      now >= FullShareAt(of.value, options_.policy);
+  const bool is_full = of.value.state == move_state::kRunning &&
+                       IsJudge(of, now) &&
+                       of.value.cleared_percent >= kPercent &&
+                       now >= FullShareAt(of.value, options_.policy);
   if (!is_full) {
     of.full_since = {};
     return;
   }
   if (of.full_since == base::instant{}) of.full_since = now;
+  // A suspicion does not begin the bake anew, as it may be a burst of load just
+  // before the set time; but there is no word while it lasts.
   if (of.is_ready || now - of.full_since < options_.policy.bake) return;
+  if (of.pooled.IsSuspicious() || now < of.value.cautious_until) return;
   of.is_ready = true;
   effects.ready.push_back(of.value.id);
 }
