--- /dev/null
+++ b/lab/balancing_experiment.cc
@@ -0,0 +1,255 @@
+#include "lab/balancing_experiment.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cmath>
+#include <iostream>
+#include <queue>
+#include <vector>
+
+#include "base/settings.h"
+#include "decisions/admission.h"
+#include "decisions/balancer.h"
+
+namespace fireflyspar::lab {
+namespace {
+
+using base::duration;
+using base::instant;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+enum class policy { kRoundRobin, kRandom, kLeastReported, kTwoChoices };
+enum class trouble { kNone, kSlow, kCold, kLiar };
+
+constexpr std::array kPolicies = {
+    std::pair{policy::kRoundRobin, "round_robin"},
+    std::pair{policy::kRandom, "random"},
+    std::pair{policy::kLeastReported, "least_reported_load"},
+    std::pair{policy::kTwoChoices, "two_choices"}};
+constexpr std::array kTroubles = {std::pair{trouble::kNone, "none"},
+                                  std::pair{trouble::kSlow, "one_slow"},
+                                  std::pair{trouble::kCold, "one_cold"},
+                                  std::pair{trouble::kLiar, "one_lies"}};
+
+constexpr int kServers = 5;
+constexpr int kSlots = 6;
+constexpr double kWorkMicroseconds = 10'000;
+// Of the five servers' 3,000 calls a second.
+constexpr double kCallsPerSecond = 2'000;
+constexpr seconds kLength{30};
+constexpr int kSlowFactor = 5;
+// A server's own load report is this old when it is read.
+constexpr milliseconds kReportAge{1000};
+
+struct event {
+  instant at;
+  bool is_arrival = false;
+  int server = 0;
+  std::uint64_t call = 0;
+
+  bool operator>(const event& other) const { return at > other.at; }
+};
+
+struct tally {
+  std::vector<double> latencies;
+  std::int64_t shed = 0;
+  std::int64_t calls = 0;
+};
+
+class simulation {
+ public:
+  simulation(std::uint64_t seed, policy chosen, trouble given)
+      : random_(base::SeededRandom(seed)), policy_(chosen), trouble_(given) {
+    for (decisions::admission& gate : gates_) {
+      gate.SetServer(decisions::server_state::kServing, kSlots, begin_);
+    }
+    if (trouble_ == trouble::kCold) {
+      gates_[0].SetServer(decisions::server_state::kAbsent, kSlots, begin_);
+      gates_[0].SetServer(decisions::server_state::kStarting, kSlots, begin_);
+    }
+    if (trouble_ == trouble::kLiar) lies_[0] = true;
+  }
+
+  tally Run() {
+    events_.push({.at = begin_, .is_arrival = true});
+    while (!events_.empty()) {
+      const event next = events_.top();
+      events_.pop();
+      now_ = next.at;
+      if (next.is_arrival) {
+        Arrive();
+      } else {
+        End(next.server, next.call);
+      }
+    }
+    return std::move(tally_);
+  }
+
+ private:
+  struct call_state {
+    instant arrived;
+    duration work{};
+  };
+
+  double Exponential(double mean) {
+    return -mean * std::log(1.0 - base::Unit(random_()));
+  }
+
+  // The slow server takes five times as long; the cold one does until it has
+  // been up for ten seconds.
+  duration Work(int server) {
+    const bool is_slow =
+        server == 0 && (trouble_ == trouble::kSlow ||
+                        (trouble_ == trouble::kCold &&
+                         now_ - begin_ < seconds(10)) ||
+                        trouble_ == trouble::kLiar);
+    const double factor = is_slow ? kSlowFactor : 1;
+    return duration(
+        static_cast<std::int64_t>(Exponential(kWorkMicroseconds * factor)) + 1);
+  }
+
+  int Choose() {
+    const auto any = [this] { return static_cast<int>(random_() % kServers); };
+    switch (policy_) {
+      case policy::kRoundRobin:
+        return static_cast<int>(tally_.calls % kServers);
+      case policy::kRandom:
+        return any();
+      case policy::kLeastReported: {
+        RefreshReports();
+        const auto least = std::ranges::min_element(reports_);
+        return static_cast<int>(least - reports_.begin());
+      }
+      case policy::kTwoChoices:
+        break;
+    }
+    std::array<decisions::candidate, kServers> candidates;
+    for (int server = 0; server < kServers; ++server) {
+      candidates[server] = {.id = kNames[server], .slots = kSlots};
+    }
+    return static_cast<int>(
+        *balancer_.Choose(candidates, {}, random_, now_));
+  }
+
+  void RefreshReports() {
+    if (now_ - reported_ < kReportAge) return;
+    reported_ = now_;
+    for (int server = 0; server < kServers; ++server) {
+      reports_[server] = lies_[server] ? 0 : Busy(server);
+    }
+  }
+
+  int Busy(int server) const {
+    return gates_[server].InFlight() + gates_[server].Waiting();
+  }
+
+  void Arrive() {
+    const duration gap(static_cast<std::int64_t>(
+        Exponential(1e6 / kCallsPerSecond)) + 1);
+    if (now_ + gap < begin_ + kLength) {
+      events_.push({.at = now_ + gap, .is_arrival = true});
+    }
+    const int server = Choose();
+    const std::uint64_t call = calls_.size();
+    calls_.push_back({.arrived = now_});
+    ++tally_.calls;
+    balancer_.OnDispatch(kNames[server], now_);
+    const auto verdict = gates_[server].Enter(call, now_ + seconds(2), now_);
+    if (verdict.step == decisions::admission_step::kRun) Begin(server, call);
+    if (verdict.step == decisions::admission_step::kRefuse) Shed(server);
+  }
+
+  void Begin(int server, std::uint64_t call) {
+    calls_[call].work = Work(server);
+    events_.push(
+        {.at = now_ + calls_[call].work, .server = server, .call = call});
+  }
+
+  void Shed(int server) {
+    ++tally_.shed;
+    balancer_.OnEnd(kNames[server], decisions::call_ending::kShed, {}, now_);
+    balancer_.OnGateLoad(kNames[server], Busy(server), now_);
+  }
+
+  void End(int server, std::uint64_t call) {
+    const duration latency = now_ - calls_[call].arrived;
+    tally_.latencies.push_back(static_cast<double>(latency.count()));
+    const auto turns =
+        gates_[server].Leave({.duration = calls_[call].work}, now_);
+    balancer_.OnEnd(kNames[server], decisions::call_ending::kGood, latency,
+                    now_);
+    balancer_.OnGateLoad(kNames[server], Busy(server), now_);
+    for (const decisions::admission_turn& turn : turns) {
+      if (turn.verdict.step == decisions::admission_step::kRun) {
+        Begin(server, turn.ticket);
+      } else {
+        Shed(server);
+      }
+    }
+  }
+
+  static constexpr std::array<std::string_view, kServers> kNames = {
+      "s0", "s1", "s2", "s3", "s4"};
+
+  base::random_hook random_;
+  policy policy_;
+  trouble trouble_;
+  instant begin_{std::chrono::hours(1)};
+  instant now_ = begin_;
+  std::array<decisions::admission, kServers> gates_;
+  std::array<bool, kServers> lies_{};
+  std::array<int, kServers> reports_{};
+  instant reported_;
+  decisions::balancer balancer_;
+  std::priority_queue<event, std::vector<event>, std::greater<>> events_;
+  std::vector<call_state> calls_;
+  tally tally_;
+};
+
+double Quantile99Milliseconds(std::vector<double> latencies) {
+  if (latencies.empty()) return 0;
+  constexpr double kQuantile = 0.99;
+  constexpr double kMicrosecondsPerMillisecond = 1000;
+  std::ranges::sort(latencies);
+  const auto rank = static_cast<std::size_t>(
+      kQuantile * static_cast<double>(latencies.size() - 1));
+  return latencies[rank] / kMicrosecondsPerMillisecond;
+}
+
+}  // namespace
+
+nlohmann::json RunBalancingExperiment(std::uint64_t seed) {
+  nlohmann::json report = {{"experiment", "balancing"}, {"seed", seed}};
+  for (const auto& [given, trouble_name] : kTroubles) {
+    for (const auto& [chosen, policy_name] : kPolicies) {
+      const tally result = simulation(seed, chosen, given).Run();
+      report[trouble_name][policy_name] = {
+          {"p99_ms", Quantile99Milliseconds(result.latencies)},
+          {"shed_share", static_cast<double>(result.shed) /
+                             static_cast<double>(result.calls)},
+          {"calls", result.calls}};
+    }
+  }
+  return report;
+}
+
+int RunBalancingCommand(std::span<const std::string> arguments) {
+  const std::vector<base::setting> table = {
+      {.name = "seed",
+       .kind = base::setting_kind::kNumber,
+       .default_text = "1",
+       .help = "of the random draws"}};
+  const auto line = base::ReadCommandLine(
+      {.program = "fireflyspar-lab experiment balancing",
+       .summary = "compares ways of choosing a server, in virtual time",
+       .table = table},
+      arguments);
+  if (!line.parsed) return line.exit_code;
+  const auto seed = static_cast<std::uint64_t>(line.parsed->Number("seed"));
+  std::cout << RunBalancingExperiment(seed).dump() << std::endl;
+  return 0;
+}
+
+}  // namespace fireflyspar::lab
--- /dev/null
+++ b/lab/call_overhead.cc
@@ -0,0 +1,238 @@
+#include "lab/call_overhead.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "base/settings.h"
+#include "callers/call_path.h"
+#include "lab/backend_server.h"
+#include "lab/load.h"
+#include "lab/relay_baseline.h"
+
+namespace fireflyspar::lab {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr char kService[] = "stock";
+constexpr double kMicrosecondsPerMillisecond = 1000.0;
+
+// One way for the load to take.
+struct way {
+  std::string name;
+  base::address target;
+  load_result all;
+  microseconds cpu{0};
+};
+
+// Two nodes that share one view; the server is beside the first.
+class two_nodes {
+ public:
+  two_nodes(const base::address& server, int workers) {
+    view_ = MakeView();
+    beside_ = MakeNode("beside", workers, gate_);
+    away_ = MakeNode("away", workers, no_gate_);
+    started_ = beside_->Start().Ok() && away_->Start().Ok();
+    view_->members.push_back(
+        {.node_id = "beside",
+         .data_centre = "one",
+         .gate_address = beside_->Bound().gate,
+         .server = {.service = kService,
+                    .version = "v1",
+                    .slots = kSlots,
+                    .state = decisions::server_state::kServing}});
+    started_ = started_ &&
+               gate_.Announce({.server_address = server,
+                               .server = view_->members.front().server})
+                   .Ok();
+  }
+
+  bool Started() const { return started_; }
+  base::address OneHop() const { return beside_->Bound().outside; }
+  base::address TwoHops() const { return away_->Bound().outside; }
+
+ private:
+  static constexpr int kSlots = 18;
+
+  static std::shared_ptr<decisions::fleet_view> MakeView() {
+    auto snapshot = std::make_shared<config::snapshot>();
+    snapshot->id = {.version = 1, .hash = "overhead"};
+    snapshot->content = {
+        .name = "overhead",
+        .data_centres = {"one"},
+        .services = {{.name = kService,
+                      .versions = {{.version = "v1", .percent = 100}}}},
+        .routes = {{.name = kService,
+                    .path_prefix = "/stock",
+                    .service = kService,
+                    .seen_from = config::visibility::kOutside}}};
+    auto view = std::make_shared<decisions::fleet_view>();
+    view->configuration = std::move(snapshot);
+    return view;
+  }
+
+  std::unique_ptr<callers::call_path> MakeNode(const std::string& id,
+                                               int workers,
+                                               backend_servers::gate& gate) {
+    const base::address any_port{.ip = "127.0.0.1"};
+    return std::make_unique<callers::call_path>(callers::call_path_options{
+        .node_id = id,
+        .data_centre = "one",
+        .outside_address = any_port,
+        .inside_address = any_port,
+        .gate_address = any_port,
+        .workers = workers,
+        .clock = base::SystemClock(),
+        .random = base::SystemRandom(),
+        .metrics = &metrics_,
+        .gate = &gate,
+        .view = [this]() -> decisions::fleet_view_ptr { return view_; }});
+  }
+
+  base::metrics metrics_;
+  backend_servers::gate gate_{{.clock = base::SystemClock()}};
+  backend_servers::gate no_gate_{{.clock = base::SystemClock()}};
+  std::shared_ptr<decisions::fleet_view> view_;
+  std::unique_ptr<callers::call_path> beside_;
+  std::unique_ptr<callers::call_path> away_;
+  bool started_ = false;
+};
+
+// Processor time of this process, which runs the load, the nodes and the
+// server; the ways' differences are what the hops cost.
+microseconds CpuUsed() {
+  rusage used{};
+  getrusage(RUSAGE_SELF, &used);
+  const auto of = [](const timeval& time) {
+    return std::chrono::seconds(time.tv_sec) + microseconds(time.tv_usec);
+  };
+  return of(used.ru_utime) + of(used.ru_stime);
+}
+
+void TakeTurn(way& taken, load_options load) {
+  load.target = taken.target;
+  const microseconds before = CpuUsed();
+  const load_result result = RunLoad(load);
+  taken.cpu += CpuUsed() - before;
+  taken.all.sent += result.sent;
+  taken.all.cut += result.cut;
+  taken.all.wrong += result.wrong;
+  for (const auto& [status, count] : result.by_status) {
+    taken.all.by_status[status] += count;
+  }
+  taken.all.latencies.insert(taken.all.latencies.end(),
+                             result.latencies.begin(), result.latencies.end());
+}
+
+nlohmann::json Report(std::vector<way>& ways) {
+  constexpr std::array kQuantiles = {std::pair{"p50", 0.5},
+                                     std::pair{"p99", 0.99},
+                                     std::pair{"p999", 0.999}};
+  for (way& each : ways) std::ranges::sort(each.all.latencies);
+  const way& direct = ways.front();
+  nlohmann::json report = nlohmann::json::object();
+  for (const way& each : ways) {
+    nlohmann::json row = each.all.ToJson();
+    const auto calls = static_cast<double>(std::max<std::int64_t>(
+        1, each.all.sent));
+    row["cpu_us_per_call"] = static_cast<double>(each.cpu.count()) / calls;
+    for (const auto& [name, quantile] : kQuantiles) {
+      const microseconds added =
+          each.all.Quantile(quantile) - direct.all.Quantile(quantile);
+      row[std::string("added_") + name + "_ms"] =
+          static_cast<double>(added.count()) / kMicrosecondsPerMillisecond;
+    }
+    report[each.name] = std::move(row);
+  }
+  return report;
+}
+
+std::vector<base::setting> Table() {
+  using enum base::setting_kind;
+  return {
+      {.name = "seed",
+       .kind = kNumber,
+       .default_text = "1",
+       .help = "taken for likeness; this experiment measures real time"},
+      {.name = "rate",
+       .kind = kNumber,
+       .default_text = "175",
+       .help = "calls a second",
+       .least = 1,
+       .most = 20000},
+      {.name = "rounds",
+       .kind = kNumber,
+       .default_text = "5",
+       .help = "turns of each way",
+       .least = 1,
+       .most = 1000},
+      {.name = "turn-ms",
+       .kind = kMilliseconds,
+       .default_text = "2000",
+       .help = "length of a turn",
+       .least = 100},
+      {.name = "workers",
+       .kind = kNumber,
+       .default_text = "2",
+       .help = "threads of each node",
+       .least = 1,
+       .most = 64},
+      {.name = "baseline",
+       .kind = kSwitch,
+       .default_text = "true",
+       .help = "measure the relay by cpprestsdk too"},
+  };
+}
+
+}  // namespace
+
+int RunCallOverhead(std::span<const std::string> arguments) {
+  const std::vector<base::setting> table = Table();
+  const auto line = base::ReadCommandLine(
+      {.program = "fireflyspar-lab experiment call-overhead",
+       .summary = "what a call through fireflyspar costs over a direct one",
+       .table = table},
+      arguments);
+  if (!line.parsed) return line.exit_code;
+  const base::settings& from = *line.parsed;
+  constexpr int kAnswerBytes = 800;  // About 1 KB with the rest.
+  backend_server server(
+      {.service = kService, .slots = 18, .body_bytes = kAnswerBytes});
+  if (!server.Start()) return 1;
+  const two_nodes nodes(server.Address(),
+                        static_cast<int>(from.Number("workers")));
+  if (!nodes.Started()) return 1;
+  std::vector<way> ways = {{.name = "direct", .target = server.Address()},
+                           {.name = "one_hop", .target = nodes.OneHop()},
+                           {.name = "two_hops", .target = nodes.TwoHops()}};
+  std::unique_ptr<relay_baseline> baseline;
+  if (from.Switch("baseline")) {
+    baseline = std::make_unique<relay_baseline>(server.Address());
+    ways.push_back(
+        {.name = "cpprestsdk_relay", .target = baseline->Address()});
+  }
+  load_options load{.rate = static_cast<double>(from.Number("rate")),
+                    .duration = milliseconds(200),
+                    .path = "/stock/7"};
+  std::vector<way> warm_up = ways;
+  for (way& each : warm_up) TakeTurn(each, load);
+  load.duration = from.Milliseconds("turn-ms");
+  for (std::int64_t round = 0; round < from.Number("rounds"); ++round) {
+    for (way& each : ways) TakeTurn(each, load);
+  }
+  nlohmann::json report = Report(ways);
+  report["experiment"] = "call-overhead";
+  report["rate"] = from.Number("rate");
+  std::cout << report.dump() << std::endl;
+  return 0;
+}
+
+}  // namespace fireflyspar::lab
--- a/lab/experiments.cc
+++ b/lab/experiments.cc
@@ -1,11 +1,19 @@
 #include "lab/experiments.h"
 
+#include "lab/balancing_experiment.h"
+#include "lab/call_overhead.h"
 #include "lab/move_experiment.h"
 
 namespace fireflyspar::lab {
 
 std::vector<base::command> Experiments() {
   return {
+      {.name = "balancing",
+       .summary = "choosing a server, against round robin and random",
+       .run = RunBalancingCommand},
+      {.name = "call-overhead",
+       .summary = "what a call through fireflyspar costs over a direct one",
+       .run = RunCallOverhead},
       {.name = "moves-decisions",
        .summary = "good and bad versions judged in virtual time",
        .run = RunMoveExperiment},
--- /dev/null
+++ b/lab/relay_baseline.h
@@ -0,0 +1,28 @@
+// A relay by cpprestsdk's listener and client, as plain as can be: what the
+// call path would cost were it built on them.
+#ifndef FIREFLYSPAR_LAB_RELAY_BASELINE_H_
+#define FIREFLYSPAR_LAB_RELAY_BASELINE_H_
+
+#include <memory>
+
+#include "base/address.h"
+
+namespace fireflyspar::lab {
+
+class relay_baseline {
+ public:
+  explicit relay_baseline(const base::address& target);
+  ~relay_baseline();
+  relay_baseline(const relay_baseline&) = delete;
+  relay_baseline& operator=(const relay_baseline&) = delete;
+
+  base::address Address() const;
+
+ private:
+  class state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace fireflyspar::lab
+
+#endif  // FIREFLYSPAR_LAB_RELAY_BASELINE_H_
