--- a/lab/mesh_experiments.cc
+++ b/lab/mesh_experiments.cc
@@ -214,7 +214,7 @@
       {"join_milliseconds", join_time},
       {"changes", changes},
       {"converged", times.size()},
-      {"preset_bytes", MakeChange(1, services)->text.size()},
+      {"services", services},
       {"p50_milliseconds", Quantile(times, 0.5)},
       {"p99_milliseconds", Quantile(times, 0.99)},
       {"worst_milliseconds", Quantile(times, 1)}};
--- a/lab/mesh_fleet.cc
+++ b/lab/mesh_fleet.cc
@@ -144,12 +144,15 @@
     const std::string name = "service-" + std::to_string(i);
     preset.services.push_back(
         {.name = name, .versions = {{.version = "v1", .percent = 100}}});
-    for (const char* verb : {"GET", "POST"}) {
-      preset.routes.push_back({.name = name + "-" + verb,
-                               .methods = {verb},
-                               .path_prefix = "/" + name,
-                               .service = name});
-    }
+    preset.routes.push_back({.name = name + "-read",
+                             .methods = {"GET"},
+                             .path_prefix = "/" + name,
+                             .service = name});
+    preset.routes.push_back({.name = name + "-write",
+                             .methods = {"POST"},
+                             .path_prefix = "/" + name,
+                             .service = name,
+                             .at_most_once = true});
   }
   const std::size_t changed = version % services;
   preset.services[changed].timeout =
