--- a/lab/deployment.cc
+++ b/lab/deployment.cc
@@ -1,6 +1,7 @@
 #include "lab/deployment.h"
 
 #include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <fstream>
 #include <iterator>
@@ -200,7 +201,7 @@
 
 int deployment::Command(std::vector<std::string> arguments,
                         std::string* output) {
-  static int count = 0;
+  static std::atomic<int> count = 0;
   const std::string log = Log("command-" + std::to_string(++count));
   std::vector<std::string> command = {options_.binaries + "/src/fireflyspar"};
   std::ranges::move(arguments, std::back_inserter(command));
--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -2,7 +2,8 @@
 
 #include <atomic>
 #include <csignal>
-#include <iostream>
+#include <map>
+#include <span>
 #include <thread>
 #include <utility>
 
@@ -46,6 +47,7 @@
   move_control_options MoveControlOptions();
 
   operators::endpoint_answer Announce(const std::string& body);
+  void LogMoves(std::span<const decisions::move> moves);
   void OnView(const decisions::fleet_view_ptr& view);
   void RunTicks(const std::stop_token& stop);
   bool Join();
@@ -64,7 +66,9 @@
   platform_jobs platform_;
   operators::endpoint endpoint_;
   std::jthread ticker_;
-  std::uint64_t configuration_version_ = 0;  // Of the mesh's thread.
+  // What was logged last; used on the mesh's thread only.
+  std::uint64_t configuration_version_ = 0;
+  std::map<std::string, std::string> logged_moves_;
 };
 
 node::state::state(node_options options)
@@ -227,8 +231,21 @@
   return {.body = "{}\n"};
 }
 
+void node::state::LogMoves(std::span<const decisions::move> moves) {
+  for (const decisions::move& each : moves) {
+    const std::string state = MoveStateText(each);
+    std::string& logged = logged_moves_[each.id];
+    if (logged == state) continue;
+    logged = state;
+    base::LogInfo(
+        "move_changed",
+        {{"move", each.id}, {"state", state}, {"evidence", each.evidence}});
+  }
+}
+
 void node::state::OnView(const decisions::fleet_view_ptr& view) {
   moves_.SetView(*view);
+  LogMoves(view->moves);
   if (!view->configuration) return;
   const config::version_id& id = view->configuration->id;
   if (id.version == configuration_version_) return;
--- a/src/app/node_status.cc
+++ b/src/app/node_status.cc
@@ -76,6 +76,13 @@
 
 }  // namespace
 
+std::string MoveStateText(const decisions::move& move) {
+  std::string text(ToText(move.state));
+  const bool is_over = move.state != decisions::move_state::kRunning;
+  if (is_over && !move.is_final) text += "_not_final";
+  return text;
+}
+
 std::string NodeStatusText(const node_identity& node,
                            const decisions::fleet_view& view) {
   json status = {{"node_id", node.node_id},
--- a/src/app/node_status.h
+++ b/src/app/node_status.h
@@ -14,6 +14,10 @@
   bool is_draining = false;
 };
 
+// "running", "taken_back" or "done", with "_not_final" behind an outcome that
+// does not stand at the platform yet.
+std::string MoveStateText(const decisions::move& move);
+
 // One JSON object: {node_id, data_centre, draining, version, hash, preset,
 // members: [...], moves: [...]}. `version` is zero without a configuration.
 std::string NodeStatusText(const node_identity& node,
--- /dev/null
+++ b/tests/app/configuration_failures_test.cc
@@ -0,0 +1,148 @@
+// What must hold of the configuration while processes die, freeze, are cut off
+// and the platform fails. Verdicts come from asking every node's own port and
+// from the stand-ins' counts.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <future>
+#include <string>
+
+#include "small_deployment.h"
+
+namespace fireflyspar::tests {
+namespace {
+
+using lab::deployment;
+using lab::instance;
+
+void SetPlatformFaults(const deployment& fleet, const std::string& faults) {
+  const auto reply = lab::Request({.method = "POST",
+                                   .target = fleet.PlatformAddress(),
+                                   .path = "/faults",
+                                   .body = faults});
+  REQUIRE(reply.Ok());
+  REQUIRE(reply->status == 200);
+}
+
+void KillNode(instance& at) {
+  at.node.front().Signal(SIGKILL);
+  at.node.clear();
+}
+
+TEST_CASE("a node that was killed comes back at the version in force") {
+  const auto fleet = StartSmallDeployment(21);
+  instance& victim = *fleet->Instances()[1];
+  KillNode(victim);
+  REQUIRE(UseExample(*fleet, "peak") == 0);
+  REQUIRE(deployment::WaitFor([&] { return fleet->AllAt(2); }, kBackstop));
+
+  REQUIRE(fleet->StartNode(victim).Ok());
+  REQUIRE(deployment::WaitFor(
+      [&] { return deployment::VersionAt(victim) == 2; }, kBackstop));
+}
+
+TEST_CASE("a node started while the platform is down learns from its peers") {
+  const auto fleet = StartSmallDeployment(22);
+  instance& victim = *fleet->Instances()[2];
+  KillNode(victim);
+  fleet->StopPlatform();
+  REQUIRE(fleet->StartNode(victim).Ok());
+  REQUIRE(deployment::WaitFor(
+      [&] { return deployment::VersionAt(victim) == 1; }, kBackstop));
+  REQUIRE(deployment::WaitFor(
+      [&] { return Get(victim, "/equipment/17") == 200; }, kBackstop));
+}
+
+TEST_CASE("a node that was frozen through a change catches up and is kept") {
+  const auto fleet = StartSmallDeployment(23);
+  instance& frozen = *fleet->Instances()[0];
+  frozen.node.front().Signal(SIGSTOP);
+  REQUIRE(UseExample(*fleet, "peak") == 0);
+  REQUIRE(deployment::WaitFor(
+      [&] {
+        return std::ranges::all_of(fleet->Instances(), [&](const auto& each) {
+          return each.get() == &frozen || deployment::VersionAt(*each) == 2;
+        });
+      },
+      kBackstop));
+  frozen.node.front().Signal(SIGCONT);
+  REQUIRE(deployment::WaitFor([&] { return fleet->AllAt(2); }, kBackstop));
+  // It refutes its death, and has not declared the others dead.
+  const auto servers = static_cast<std::int64_t>(fleet->Instances().size());
+  REQUIRE(
+      deployment::WaitFor([&] { return AllKnow(*fleet, servers); }, kBackstop));
+}
+
+TEST_CASE("a data centre cut off serves on and catches up when healed") {
+  const auto fleet = StartSmallDeployment(24);
+  fleet->Cut("fukuoka", "kumamoto");
+  fleet->Cut("fukuoka", "kagoshima");
+  REQUIRE(UseExample(*fleet, "peak") == 0);
+  REQUIRE(deployment::WaitFor([&] { return fleet->AllAt(2); }, kBackstop));
+  for (const auto& each : fleet->Instances()) {
+    CHECK(deployment::WaitFor(
+        [&] { return Get(*each, "/equipment/17") == 200; }, kBackstop));
+  }
+  fleet->Heal();
+  const auto servers = static_cast<std::int64_t>(fleet->Instances().size());
+  REQUIRE(
+      deployment::WaitFor([&] { return AllKnow(*fleet, servers); }, kBackstop));
+}
+
+TEST_CASE("a change whose answer is lost is accepted once and reported so") {
+  const auto fleet = StartSmallDeployment(25);
+  SetPlatformFaults(*fleet, R"({"lose_answers":1})");
+  CHECK(UseExample(*fleet, "peak") == 0);
+  REQUIRE(deployment::WaitFor([&] { return fleet->AllAt(2); }, kBackstop));
+  for (const auto& each : fleet->Instances()) {
+    CHECK(deployment::VersionAt(*each) == 2);
+  }
+}
+
+TEST_CASE("two operators at once end with one version, the same everywhere") {
+  const auto fleet = StartSmallDeployment(26);
+  const std::string examples =
+      std::string(FIREFLYSPAR_SOURCE_DIR) + "/examples/kyushu/";
+  for (const char* name : {"peak", "maintenance"}) {
+    REQUIRE(fleet->Command({"preset", "put", examples + name + ".json"}) == 0);
+  }
+  const auto use = [&](const char* name) {
+    return std::async(std::launch::async, [&fleet, name] {
+      return fleet->Command({"preset", "use", name});
+    });
+  };
+  auto first = use("peak");
+  auto second = use("maintenance");
+  const int first_code = first.get();
+  const int second_code = second.get();
+
+  // Either one lost the race and was told so, or the second came after the
+  // first was done; each that was accepted made one version.
+  const int conflict = base::AnswerFor(base::error_kind::kConflict).exit_code;
+  CHECK((first_code == 0 || first_code == conflict));
+  CHECK((second_code == 0 || second_code == conflict));
+  const auto accepted = static_cast<std::uint64_t>((first_code == 0 ? 1 : 0) +
+                                                   (second_code == 0 ? 1 : 0));
+  REQUIRE(accepted >= 1);
+  REQUIRE(deployment::WaitFor([&] { return fleet->AllAt(1 + accepted); },
+                              kBackstop));
+  for (const auto& each : fleet->Instances()) {
+    CHECK(deployment::VersionAt(*each) == 1 + accepted);
+  }
+}
+
+TEST_CASE("a bad preset is refused with every fault and changes nothing") {
+  const auto fleet = StartSmallDeployment(27);
+  std::string output;
+  const int code = fleet->Command(
+      {"preset", "put", std::string(FIREFLYSPAR_SOURCE_DIR) + "/README.md"},
+      &output);
+  CHECK(code == base::AnswerFor(base::error_kind::kBadPreset).exit_code);
+  CHECK_FALSE(output.empty());
+  for (const auto& each : fleet->Instances()) {
+    CHECK(deployment::VersionAt(*each) == 1);
+  }
+}
+
+}  // namespace
+}  // namespace fireflyspar::tests
