--- a/src/operators/audit_entry.cc
+++ b/src/operators/audit_entry.cc
@@ -65,7 +65,8 @@
           {"key", entry.key},
           {"if_version", entry.if_version},
           {"mark_before", entry.mark_before},
-          {"mark_after", entry.mark_after}};
+          {"mark_after", entry.mark_after},
+          {"snapshot_hash", entry.snapshot_hash}};
 }
 
 void ReadEntry(const json& value, const std::string& at, audit_entry& to,
@@ -85,7 +86,8 @@
        {"key", kRequired, ReadText(to.key)},
        {"if_version", kRequired, config::ReadCounter(to.if_version)},
        {"mark_before", kRequired, ReadText(to.mark_before)},
-       {"mark_after", kRequired, ReadText(to.mark_after)}},
+       {"mark_after", kRequired, ReadText(to.mark_after)},
+       {"snapshot_hash", kOptional, ReadText(to.snapshot_hash)}},
       config::unknown_keys::kIgnored, out);
   to.when = base::instant(base::duration(static_cast<std::int64_t>(when_us)));
 }
--- a/src/operators/audit_entry.h
+++ b/src/operators/audit_entry.h
@@ -37,6 +37,7 @@
   std::uint64_t if_version = 0;
   std::string mark_before;
   std::string mark_after;
+  std::string snapshot_hash;  // Of a choice: the snapshot that it needs.
 
   bool operator==(const audit_entry&) const = default;
 };
--- a/src/operators/audit_trail.cc
+++ b/src/operators/audit_trail.cc
@@ -195,7 +195,8 @@
 
 }  // namespace
 
-base::status AppendEntry(const context& with, const audit_entry& entry) {
+base::result<append_result> AppendEntry(const context& with,
+                                        const audit_entry& entry) {
   for (int tries = 0; tries < kMaxTries; ++tries) {
     auto last = LastSegment(with);
     if (!last) return last.Failure();
@@ -204,8 +205,9 @@
     const auto written = WriteSegment(with, *last, entry.operation_id);
     if (!written) return written.Failure();
     if (!written->took_effect) continue;
-    if (last->stored.version == 0) FinishNewSegment(with, last->number);
-    return base::nothing{};
+    const bool began = last->stored.version == 0;
+    if (began) FinishNewSegment(with, last->number);
+    return append_result{.segment = last->number, .began_segment = began};
   }
   return Fail(error_kind::kConflict, "the audit trail keeps changing");
 }
@@ -223,6 +225,17 @@
   });
 }
 
+base::result<std::vector<audit_entry>> EntriesOfSegment(const context& with,
+                                                        std::uint64_t number) {
+  auto read = ReadSegment(with, number);
+  if (!read) return read.Failure();
+  if (!read->is_readable) {
+    return Fail(error_kind::kMalformedMessage,
+                "audit segment " + std::to_string(number) + " can't be read");
+  }
+  return std::move(read->entries);
+}
+
 base::result<std::vector<audit_entry>> RecentEntries(const context& with) {
   const auto segments = LastSegments(with, kRecentSegments);
   if (!segments) return segments.Failure();
--- a/src/operators/audit_trail.h
+++ b/src/operators/audit_trail.h
@@ -25,8 +25,15 @@
 
 namespace fireflyspar::operators {
 
+// Where an entry was appended.
+struct append_result {
+  std::uint64_t segment = 0;
+  bool began_segment = false;  // It is the segment's first.
+};
+
 // Appends a pending entry, once, however often its answer is lost.
-base::status AppendEntry(const context& with, const audit_entry& entry);
+base::result<append_result> AppendEntry(const context& with,
+                                        const audit_entry& entry);
 
 // Notes an entry's outcome and settles others that are still pending. Nothing
 // is lost when this fails: the entry is settled later.
@@ -37,6 +44,10 @@
 base::result<std::vector<audit_entry>> ReadTrail(const context& with,
                                                  std::size_t limit);
 
+// The entries of one segment, as they are stored; none when it isn't there.
+base::result<std::vector<audit_entry>> EntriesOfSegment(const context& with,
+                                                        std::uint64_t number);
+
 // Entries of the last few segments, as they are stored.
 base::result<std::vector<audit_entry>> RecentEntries(const context& with);
 
--- a/src/operators/audited_change.cc
+++ b/src/operators/audited_change.cc
@@ -1,5 +1,7 @@
 #include "operators/audited_change.h"
 
+#include "operators/snapshot_store.h"
+
 namespace fireflyspar::operators {
 namespace {
 
@@ -9,7 +11,10 @@
 
 base::status BeginChange(const context& with, const audit_entry& entry) {
   const auto appended = AppendEntry(with, entry);
-  if (appended) return base::nothing{};
+  if (appended) {
+    if (appended->began_segment) DropOldSnapshots(with, appended->segment);
+    return base::nothing{};
+  }
   // Its own answer may be lost, but the change's can't be: it was not sent.
   const error_kind kind = appended.Failure().Kind() == error_kind::kAnswerLost
                               ? error_kind::kPlatformUnavailable
--- a/src/operators/preset_commands.cc
+++ b/src/operators/preset_commands.cc
@@ -7,6 +7,7 @@
 #include "config/preset_text.h"
 #include "operators/audited_change.h"
 #include "operators/platform_calls.h"
+#include "operators/snapshot_store.h"
 
 namespace fireflyspar::operators {
 namespace {
@@ -24,23 +25,6 @@
           .bytes = from.value.size()};
 }
 
-// Stores the text that the hash names. It never changes once it is there, so
-// one that is there already is ours.
-base::status PutSnapshot(const context& with, const std::string& hash,
-                         const std::string& text) {
-  const auto written = Write(
-      with, {.key = std::string(platform::kSnapshotPrefix) + hash,
-             .value = text,
-             .if_version = 0,
-             .is_ours = [&](const auto& now) { return now.value == text; }});
-  if (!written) return written.Failure();
-  if (!written->took_effect) {
-    return Fail(error_kind::kInternal,
-                "snapshots/" + hash + " holds another text than its hash says");
-  }
-  return base::nothing{};
-}
-
 base::failure LostTo(const platform::in_force& winner) {
   return Fail(error_kind::kConflict,
               "another operator's choice came first: version " +
@@ -64,6 +48,14 @@
          value.preset + "'";
 }
 
+// A lost answer here leaves no doubt about the choice: it was not made.
+base::failure SnapshotFailure(const base::failure& failure) {
+  if (failure.Kind() != error_kind::kAnswerLost) return failure;
+  return Fail(error_kind::kPlatformUnavailable,
+              "nothing was changed, as the snapshot can't be stored: " +
+                  failure.detail);
+}
+
 // The compare-and-set itself.
 base::result<platform::in_force> Choose(const context& with,
                                         const audit_entry& entry,
@@ -178,9 +170,6 @@
   const std::string hash = base::ContentHash(*text);
   const auto checked = config::MakeSnapshot({.hash = hash}, *text);
   if (!checked) return checked.Failure();
-  const auto stored = PutSnapshot(with, hash, *text);
-  if (!stored) return stored.Failure();
-
   const auto before = GetOrNone(with, platform::kInForceKey);
   if (!before) return before.Failure();
   const auto current = ParsePresent(*before);
@@ -198,9 +187,16 @@
                              .key = std::string(platform::kInForceKey),
                              .if_version = before->version,
                              .mark_before = current->operation_id,
-                             .mark_after = next.operation_id};
-  return Audited<platform::in_force>(with, entry,
-                                     [&] { return Choose(with, entry, next); });
+                             .mark_after = next.operation_id,
+                             .snapshot_hash = hash};
+  // The snapshot is stored after the entry that names it, which keeps it from
+  // being dropped, and before the choice that needs it.
+  return Audited<platform::in_force>(
+      with, entry, [&]() -> base::result<platform::in_force> {
+        const auto stored = StoreSnapshot(with, hash, *text);
+        if (!stored) return SnapshotFailure(stored.Failure());
+        return Choose(with, entry, next);
+      });
 }
 
 }  // namespace fireflyspar::operators
--- /dev/null
+++ b/src/operators/snapshot_store.cc
@@ -0,0 +1,99 @@
+#include "operators/snapshot_store.h"
+
+#include <algorithm>
+#include <set>
+
+#include "operators/audit_trail.h"
+#include "operators/platform_calls.h"
+#include "platform/records.h"
+
+namespace fireflyspar::operators {
+namespace {
+
+using base::error_kind;
+using base::Fail;
+
+constexpr int kMaxTries = 10;
+
+// Full segments for which a snapshot is kept after its choice.
+constexpr std::uint64_t kKeptSegments = 3;
+
+using hash_set = std::set<std::string>;
+
+std::string KeyOf(const std::string& hash) {
+  return std::string(platform::kSnapshotPrefix) + hash;
+}
+
+// Snapshots that were in force by choices of this segment. A choice that took
+// effect makes every choice begun before it fail, so that none of those can
+// still need the snapshot; one that is pending here may have begun after it.
+hash_set OldSnapshots(const std::vector<audit_entry>& entries) {
+  hash_set old;
+  for (const audit_entry& each : entries) {
+    if (each.outcome == audit_outcome::kAccepted)
+      old.insert(each.snapshot_hash);
+  }
+  for (const audit_entry& each : entries) {
+    if (each.outcome == audit_outcome::kPending) old.erase(each.snapshot_hash);
+  }
+  old.erase("");
+  return old;
+}
+
+// Whether an entry since `first` names the snapshot, or it is in force, or that
+// can't be learned.
+bool IsNeeded(const context& with, const std::string& hash, std::uint64_t first,
+              std::uint64_t last) {
+  // The last segment may be followed by others by now.
+  bool is_end = false;
+  for (std::uint64_t number = first; !is_end; ++number) {
+    const auto entries = EntriesOfSegment(with, number);
+    if (!entries) return true;
+    is_end = number > last && entries->empty();
+    const bool is_named =
+        std::ranges::find(*entries, hash, &audit_entry::snapshot_hash) !=
+        entries->end();
+    if (is_named) return true;
+  }
+  const auto object = GetOrNone(with, platform::kInForceKey);
+  if (!object || object->version == 0) return true;
+  const auto current = platform::ParseInForce(object->value);
+  return !current || current->id.hash == hash;
+}
+
+}  // namespace
+
+base::status StoreSnapshot(const context& with, const std::string& hash,
+                           const std::string& text) {
+  for (int tries = 0; tries < kMaxTries; ++tries) {
+    const auto before = GetOrNone(with, KeyOf(hash));
+    if (!before) return before.Failure();
+    if (before->version != 0 && before->value != text) {
+      return Fail(error_kind::kInternal, "the snapshot stored as " + hash +
+                                             " is not what its hash says");
+    }
+    const auto written = Write(
+        with, {.key = KeyOf(hash),
+               .value = text,
+               .if_version = before->version,
+               .is_ours = [&](const auto& now) { return now.value == text; }});
+    if (!written) return written.Failure();
+    if (written->took_effect) return base::nothing{};
+  }
+  return Fail(error_kind::kConflict, "snapshot " + hash + " keeps changing");
+}
+
+void DropOldSnapshots(const context& with, std::uint64_t last) {
+  if (last < kKeptSegments) return;
+  const std::uint64_t old_segment = last - kKeptSegments;
+  const auto entries = EntriesOfSegment(with, old_segment);
+  if (!entries) return;
+  for (const std::string& hash : OldSnapshots(*entries)) {
+    const auto stored = Get(with, KeyOf(hash));
+    if (!stored) continue;
+    if (IsNeeded(with, hash, old_segment + 1, last)) continue;
+    (void)with.platform.remove(stored->key, stored->version);
+  }
+}
+
+}  // namespace fireflyspar::operators
--- a/tests/config/preset_property_test.cc
+++ b/tests/config/preset_property_test.cc
@@ -9,6 +9,19 @@
 namespace fireflyspar::config {
 namespace {
 
+// A valid preset's text with a few bytes replaced.
+std::string DamagedText() {
+  std::string text = ToText(*AnyPreset());
+  const int changes = *rc::gen::inRange(1, 6);
+  for (int i = 0; i < changes; ++i) {
+    const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+    const auto length = *rc::gen::inRange<std::size_t>(0, 4);
+    text.replace(at, length, *rc::gen::arbitrary<std::string>());
+    if (text.empty()) text = "{";
+  }
+  return text;
+}
+
 TEST_CASE("any valid preset comes back from its text unchanged") {
   CHECK(rc::check([] {
     const preset value = *AnyPreset();
@@ -23,14 +36,7 @@
 
 TEST_CASE("a text with changed bytes is refused or a valid preset") {
   CHECK(rc::check([] {
-    std::string text = ToText(*AnyPreset());
-    const int changes = *rc::gen::inRange(1, 6);
-    for (int i = 0; i < changes; ++i) {
-      const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
-      const auto length = *rc::gen::inRange<std::size_t>(0, 4);
-      text.replace(at, length, *rc::gen::arbitrary<std::string>());
-      if (text.empty()) text = "{";
-    }
+    const std::string text = DamagedText();
     const auto parsed = ParsePreset(text);
     if (const auto* value = std::get_if<preset>(&parsed)) {
       RC_ASSERT(Validate(*value).empty());
--- /dev/null
+++ b/tests/operators/snapshot_store_test.cc
@@ -0,0 +1,89 @@
+#include "operators/snapshot_store.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "config/snapshot.h"
+#include "examples.h"
+#include "fake_platform.h"
+#include "operators/preset_commands.h"
+
+namespace fireflyspar::operators {
+namespace {
+
+std::size_t CountBelow(const fake_platform& store, std::string_view prefix) {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      store.objects,
+      [&](const auto& each) { return each.first.starts_with(prefix); }));
+}
+
+// Whether the text that is in force is there and what its hash says.
+bool InForceIsWhole(const fake_platform& store) {
+  const auto object = store.objects.find(platform::kInForceKey);
+  if (object == store.objects.end()) return true;
+  const auto current = platform::ParseInForce(object->second.value);
+  if (!current) return false;
+  const auto text = store.objects.find(std::string(platform::kSnapshotPrefix) +
+                                       current->id.hash);
+  return text != store.objects.end() &&
+         config::MakeSnapshot(current->id, text->second.value).Ok();
+}
+
+constexpr int kPresets = 12;
+
+void PutPresets(const context& with) {
+  for (int i = 0; i < kPresets; ++i) {
+    REQUIRE(PutPreset(with, SmallPreset("p" + std::to_string(i))));
+  }
+}
+
+TEST_CASE("snapshots that nothing needs are dropped, the one in force is not") {
+  fake_platform store;
+  context alice = store.Operator("alice", 1);
+  alice.audit.segment_bytes = 1000;
+  PutPresets(alice);
+  for (int i = 0; i < kPresets; ++i) {
+    REQUIRE(UsePreset(alice, "p" + std::to_string(i)));
+    REQUIRE(InForceIsWhole(store));
+  }
+  CHECK(CountBelow(store, platform::kSnapshotPrefix) < kPresets);
+  // No choices for a long time: what is in force stays.
+  for (int i = 0; i < 100; ++i) REQUIRE(PutPreset(alice, SmallPreset("p0")));
+  CHECK(InForceIsWhole(store));
+  CHECK(CountBelow(store, platform::kSnapshotPrefix) == 1);
+}
+
+TEST_CASE("no snapshot is dropped from under another operator's choice") {
+  constexpr std::uint64_t kSeeds = 150;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    fake_platform store;
+    context alice = store.Operator("alice", seed);
+    alice.audit.segment_bytes = 500;
+    context bob = store.Operator("bob", seed + kSeeds);
+    bob.audit = alice.audit;
+    PutPresets(alice);
+    const auto draw = base::SeededRandom(seed);
+    const auto any = [&] { return "p" + std::to_string(draw() % kPresets); };
+    bool bob_is_acting = false;
+    store.fault_of = [&](call_kind, std::string_view) {
+      // So at each moment, not only after a whole choice.
+      REQUIRE(InForceIsWhole(store));
+      if (draw() % 8 == 0 && !bob_is_acting) {
+        bob_is_acting = true;
+        if (draw() % 2 == 0) {
+          (void)UsePreset(bob, any());
+        } else {
+          (void)PutPreset(bob, SmallPreset("p0"));
+        }
+        bob_is_acting = false;
+      }
+      return call_fault::kNone;
+    };
+    for (int i = 0; i < 10; ++i) (void)UsePreset(alice, any());
+    CHECK(InForceIsWhole(store));
+  }
+}
+
+}  // namespace
+}  // namespace fireflyspar::operators
