--- a/src/operators/snapshot_store.cc
+++ b/src/operators/snapshot_store.cc
@@ -30,8 +30,9 @@
 hash_set OldSnapshots(const std::vector<audit_entry>& entries) {
   hash_set old;
   for (const audit_entry& each : entries) {
-    if (each.outcome == audit_outcome::kAccepted)
+    if (each.outcome == audit_outcome::kAccepted) {
       old.insert(each.snapshot_hash);
+    }
   }
   for (const audit_entry& each : entries) {
     if (each.outcome == audit_outcome::kPending) old.erase(each.snapshot_hash);
--- a/src/platform/records.h
+++ b/src/platform/records.h
@@ -6,7 +6,8 @@
 //   watched/moves/ID  one move; its state is changed by compare-and-set
 //   presets/NAME      a preset's canonical text
 //   snapshots/HASH    the text that an `in_force` names; never changed
-//   audit/N           segments of the audit trail
+//   reserved_moves/S  the move that may run of service S (operators)
+//   audit/N           segments of the audit trail; audit/head names the last
 //   roster/DC         a few node addresses to join by
 //   status/DC         which version is in force where, written by a few nodes
 //
