--- a/lab/platform_stand_in.cc
+++ b/lab/platform_stand_in.cc
@@ -1,25 +1,19 @@
 #include "lab/platform_stand_in.h"
 
-#include <arpa/inet.h>
 #include <cpprest/http_listener.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <list>
 #include <mutex>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <thread>
 #include <utility>
 #include <vector>
 
-#include "base/log.h"
+#include "lab/platform_http.h"
 #include "lab/platform_store.h"
 
 namespace fireflyspar::lab {
@@ -30,85 +24,12 @@
 using std::chrono::steady_clock;
 using web::http::http_request;
 using web::http::methods;
-using web::http::status_code;
 using web::http::status_codes;
 using web::http::experimental::listener::http_listener;
 
 constexpr std::string_view kObjectPath = "/objects/";
 constexpr milliseconds kMostWatchWait{120'000};
 
-// A port that is free now. The library's listener can't tell which port it got
-// for 0, so that one is asked of the kernel first.
-std::uint16_t FreePort() {
-  const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in wanted{};
-  wanted.sin_family = AF_INET;
-  wanted.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof wanted;
-  auto* generic = reinterpret_cast<sockaddr*>(&wanted);
-  const bool bound = ::bind(handle, generic, size) == 0 &&
-                     ::getsockname(handle, generic, &size) == 0;
-  ::close(handle);
-  return bound ? ntohs(wanted.sin_port) : 0;
-}
-
-std::uint64_t NumberOf(std::string_view text) {
-  std::uint64_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
-}
-
-json ToJson(const platform::object& each) {
-  return {{"key", each.key}, {"version", each.version}, {"value", each.value}};
-}
-
-json ToJson(const std::vector<platform::object>& objects) {
-  json listed = json::array();
-  std::ranges::transform(
-      objects, std::back_inserter(listed),
-      [](const platform::object& each) { return ToJson(each); });
-  return {{"objects", std::move(listed)}};
-}
-
-std::string Text(const json& value) {
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
-bool IsUtf8(const std::string& text) {
-  try {
-    static_cast<void>(json(text).dump());
-    return true;
-  } catch (const json::exception&) {
-    return false;
-  }
-}
-
-struct answer {
-  status_code status = status_codes::OK;
-  std::string body = "{}";
-};
-
-answer ErrorAnswer(status_code status, std::string_view reason) {
-  return {.status = status, .body = Text({{"error", reason}})};
-}
-
-std::string QueryValue(const http_request& request, const std::string& name) {
-  const auto query = web::uri::split_query(request.relative_uri().query());
-  const auto found = query.find(name);
-  return found == query.end() ? "" : web::uri::decode(found->second);
-}
-
-std::uint64_t IfMatch(const http_request& request) {
-  const auto found = request.headers().find("If-Match");
-  return found == request.headers().end() ? 0 : NumberOf(found->second);
-}
-
-// A client that goes away within an exchange is no fault of the stand-in's.
-void LogBroken(const std::exception& error) {
-  base::Log(base::log_level::kDebug, "exchange_broken",
-            {{"error", error.what()}});
-}
-
 struct parked_watch {
   http_request request;
   std::string prefix;
@@ -454,21 +375,6 @@
     changed_.notify_all();
   }
 
-  static void Send(const http_request& request, const answer& made) {
-    web::http::http_response response(made.status);
-    response.set_body(made.body, "application/json");
-    if (made.status == status_codes::TooManyRequests) {
-      response.headers().add("Retry-After", "1");
-    }
-    request.reply(response).then([](const pplx::task<void>& sent) {
-      try {
-        sent.get();
-      } catch (const std::exception& error) {
-        LogBroken(error);
-      }
-    });
-  }
-
   std::string StatsText() const {
     const platform_stats stats = Stats();
     return Text({{"calls", stats.calls},
