--- a/lab/mesh_experiments.cc
+++ b/lab/mesh_experiments.cc
@@ -204,20 +204,19 @@
   fleet.At(0).Offer(MakeChange(1, services));
   fleet.WaitUntilHeld(1);
   const auto times = OfferChanges(fleet, 2, changes, services, random);
-  const ordered_json figures{
-      {"experiment", "convergence"},
-      {"processes", 1},
-      {"nodes", options.nodes},
-      {"data_centres", options.data_centres},
-      {"seed", options.seed},
-      {"joined", joined},
-      {"join_milliseconds", join_time},
-      {"changes", changes},
-      {"converged", times.size()},
-      {"services", services},
-      {"p50_milliseconds", Quantile(times, 0.5)},
-      {"p99_milliseconds", Quantile(times, 0.99)},
-      {"worst_milliseconds", Quantile(times, 1)}};
+  const ordered_json figures{{"experiment", "convergence"},
+                             {"processes", 1},
+                             {"nodes", options.nodes},
+                             {"data_centres", options.data_centres},
+                             {"seed", options.seed},
+                             {"joined", joined},
+                             {"join_milliseconds", join_time},
+                             {"changes", changes},
+                             {"converged", times.size()},
+                             {"services", services},
+                             {"p50_milliseconds", Quantile(times, 0.5)},
+                             {"p99_milliseconds", Quantile(times, 0.99)},
+                             {"worst_milliseconds", Quantile(times, 1)}};
   std::cout << figures << '\n';
   return joined && times.size() == changes ? 0 : 1;
 }
--- a/src/nodes/peer_client.h
+++ b/src/nodes/peer_client.h
@@ -20,7 +20,7 @@
 namespace fireflyspar::nodes {
 
 struct peer_client_options {
-  std::size_t max_connections = 64;
+  std::size_t max_connections = 32;
   kj::Duration idle_timeout = 60 * kj::SECONDS;
   kj::Duration request_timeout = 1 * kj::SECONDS;
 
