Mesh: a paused node, and the form of messages on the wire

A node whose thread is held up until the others take it for dead comes back by refutation and takes nobody for dead on waking. The round trip of a delta found that bytes after a NUL were cut off (the result hash would have refused such a delta); they are now written by length.

--- a/lab/mesh_experiments.cc
+++ b/lab/mesh_experiments.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -66,11 +67,11 @@
           .seed = static_cast<std::uint64_t>(settings.Number("seed"))};
 }
 
-// The value that the share `quantile` of the sorted values is at or below.
+// The least of the sorted values that the share `quantile` is at or below.
 double Quantile(const std::vector<double>& sorted, double quantile) {
   if (sorted.empty()) return 0;
-  const double last = static_cast<double>(sorted.size() - 1);
-  return sorted[static_cast<std::size_t>(quantile * last + 0.5)];
+  const double rank = std::ceil(quantile * static_cast<double>(sorted.size()));
+  return sorted[static_cast<std::size_t>(std::max(rank, 1.0)) - 1];
 }
 
 double Milliseconds(lab_clock::duration time) {
--- a/src/nodes/wire.cc
+++ b/src/nodes/wire.cc
@@ -186,7 +186,8 @@
     const config::edit& edit = value.edits[i];
     edits[i].setOffset(edit.offset);
     edits[i].setRemoved(edit.removed);
-    edits[i].setAdded(kj::StringPtr(edit.added).asBytes());
+    edits[i].setAdded(
+        kj::arrayPtr(edit.added.data(), edit.added.size()).asBytes());
   }
 }
 
--- a/tests/nodes/failure_test.cc
+++ b/tests/nodes/failure_test.cc
@@ -2,6 +2,8 @@
 // cut off from each other.
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <future>
+#include <string>
 
 #include "decisions/membership.h"
 #include "fleet.h"
@@ -146,5 +148,29 @@
   }
 }
 
+TEST_CASE("a node that was paused comes back and declares nobody dead") {
+  fleet nodes;
+  std::promise<void> wake;
+  const std::shared_future<void> woken = wake.get_future().share();
+  AddDataCentre(nodes, "fukuoka", 3);
+  fleet_node& paused = nodes.At("fukuoka-2");
+  paused.during_evidence = [woken] { woken.wait(); };
+  REQUIRE(Eventually([&] { return nodes.Agree(); }));
+
+  int number = 0;
+  const auto judged = [&] { return "move-" + std::to_string(number); };
+  while (!paused.running->HasJob(JudgeJob(judged()), kJudges)) ++number;
+  nodes.At("fukuoka-0").running->SendEvidence({.move_id = judged()});
+  const bool seen_dead = Eventually([&] {
+    return RecordAt(nodes.At("fukuoka-0"), "fukuoka-2").state ==
+           node_state::kDead;
+  });
+  wake.set_value();
+  CHECK(seen_dead);
+  CHECK(Eventually([&] { return nodes.Agree(); }));
+  CHECK(RecordAt(nodes.At("fukuoka-0"), "fukuoka-2").sequence > 1);
+  CHECK(paused.deaths_seen == 0);
+}
+
 }  // namespace
 }  // namespace fireflyspar::nodes
--- a/tests/nodes/fleet.cc
+++ b/tests/nodes/fleet.cc
@@ -62,7 +62,19 @@
           [this, data_centre](const base::address& peer) {
             return MayConnect(data_centre, peer);
           },
-      .on_evidence = [&node](const auto&) { ++node.evidence_reports; }});
+      .on_change =
+          [&node](const decisions::fleet_view_ptr& view) {
+            const bool has_dead = std::ranges::any_of(
+                view->members, [](const decisions::member_record& member) {
+                  return member.state == decisions::node_state::kDead;
+                });
+            if (has_dead) ++node.deaths_seen;
+          },
+      .on_evidence =
+          [&node](const auto&) {
+            ++node.evidence_reports;
+            if (node.during_evidence) node.during_evidence();
+          }});
   const base::status started = node.running->Start();
   if (!started) throw std::runtime_error(started.Failure().detail);
   const base::address bound = node.running->RpcAddress();
--- a/tests/nodes/fleet.h
+++ b/tests/nodes/fleet.h
@@ -30,6 +30,9 @@
   std::string data_centre;
   base::metrics metrics;
   std::atomic<int> evidence_reports{0};
+  std::atomic<int> deaths_seen{0};  // Views with a dead member in them.
+  // Runs on the mesh's thread when evidence comes; may hold that thread up.
+  std::function<void()> during_evidence;
   std::unique_ptr<mesh> running;
 };
 
