--- a/lab/mesh_experiments.cc
+++ b/lab/mesh_experiments.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -66,11 +67,11 @@
           .seed = static_cast<std::uint64_t>(settings.Number("seed"))};
 }
 
-// The value that the share `quantile` of the sorted values is at or below.
+// The least of the sorted values that the share `quantile` is at or below.
 double Quantile(const std::vector<double>& sorted, double quantile) {
   if (sorted.empty()) return 0;
-  const double last = static_cast<double>(sorted.size() - 1);
-  return sorted[static_cast<std::size_t>(quantile * last + 0.5)];
+  const double rank = std::ceil(quantile * static_cast<double>(sorted.size()));
+  return sorted[static_cast<std::size_t>(std::max(rank, 1.0)) - 1];
 }
 
 double Milliseconds(lab_clock::duration time) {
@@ -204,20 +205,19 @@
   fleet.At(0).Offer(MakeChange(1, services));
   fleet.WaitUntilHeld(1);
   const auto times = OfferChanges(fleet, 2, changes, services, random);
-  const ordered_json figures{
-      {"experiment", "convergence"},
-      {"processes", 1},
-      {"nodes", options.nodes},
-      {"data_centres", options.data_centres},
-      {"seed", options.seed},
-      {"joined", joined},
-      {"join_milliseconds", join_time},
-      {"changes", changes},
-      {"converged", times.size()},
-      {"services", services},
-      {"p50_milliseconds", Quantile(times, 0.5)},
-      {"p99_milliseconds", Quantile(times, 0.99)},
-      {"worst_milliseconds", Quantile(times, 1)}};
+  const ordered_json figures{{"experiment", "convergence"},
+                             {"processes", 1},
+                             {"nodes", options.nodes},
+                             {"data_centres", options.data_centres},
+                             {"seed", options.seed},
+                             {"joined", joined},
+                             {"join_milliseconds", join_time},
+                             {"changes", changes},
+                             {"converged", times.size()},
+                             {"services", services},
+                             {"p50_milliseconds", Quantile(times, 0.5)},
+                             {"p99_milliseconds", Quantile(times, 0.99)},
+                             {"worst_milliseconds", Quantile(times, 1)}};
   std::cout << figures << '\n';
   return joined && times.size() == changes ? 0 : 1;
 }
