--- a/lab/deployment.cc
+++ b/lab/deployment.cc
@@ -1,6 +1,7 @@
 #include "lab/deployment.h"
 
 #include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <fstream>
 #include <iterator>
@@ -168,6 +169,12 @@
   if (const auto started = StartServer(added); !started) {
     return started.Failure();
   }
+  const bool is_ready =
+      WaitFor([&] { return IsReady(added); }, std::chrono::seconds{30});
+  if (!is_ready) {
+    return base::Fail(base::error_kind::kTimedOut,
+                      "the node at " + added.ip + " does not become ready");
+  }
   return &added;
 }
 
@@ -194,7 +201,7 @@
 
 int deployment::Command(std::vector<std::string> arguments,
                         std::string* output) {
-  static int count = 0;
+  static std::atomic<int> count = 0;
   const std::string log = Log("command-" + std::to_string(++count));
   std::vector<std::string> command = {options_.binaries + "/src/fireflyspar"};
   std::ranges::move(arguments, std::back_inserter(command));
--- a/lab/experiments.cc
+++ b/lab/experiments.cc
@@ -1,14 +1,29 @@
 #include "lab/experiments.h"
 
+#include "lab/balancing_experiment.h"
+#include "lab/call_overhead.h"
+#include "lab/mesh_experiments.h"
 #include "lab/move_experiment.h"
 
 namespace fireflyspar::lab {
 
 std::vector<base::command> Experiments() {
   return {
+      {.name = "balancing",
+       .summary = "choosing a server, against round robin and random",
+       .run = RunBalancingCommand},
+      {.name = "call-overhead",
+       .summary = "what a call through fireflyspar costs over a direct one",
+       .run = RunCallOverhead},
       {.name = "moves-decisions",
        .summary = "good and bad versions judged in virtual time",
        .run = RunMoveExperiment},
+      {.name = "convergence",
+       .summary = "time until a configuration is in force at every node",
+       .run = RunConvergenceExperiment},
+      {.name = "control-cost",
+       .summary = "bytes and processor time that nodes spend on each other",
+       .run = RunControlCostExperiment},
   };
 }
 
--- a/src/app/move_control.cc
+++ b/src/app/move_control.cc
@@ -10,6 +10,7 @@
 
 void move_control::SetView(const decisions::fleet_view& view) {
   const std::lock_guard lock(mutex_);
+  if (view.configuration) tracker_.SetPolicy(view.configuration->content.moves);
   tracker_.SetMoves(view.moves, options_.clock());
 }
 
--- a/src/operators/audit_trail.h
+++ b/src/operators/audit_trail.h
@@ -10,9 +10,8 @@
 //
 // Entries lie in segments, audit/N, of bounded size and number; the oldest
 // segment is dropped. audit/head says which segment is the last; it may lag by
-// one, since the segment is made before it. Worked out at 6,700 changes a day:
-// two writes for each are 0.16 a second, and 128 segments of 128 KB hold about
-// 30,000 entries of 550 bytes, or four and a half days.
+// one, since the segment is made before it. A change costs two writes here: at
+// 6,700 changes a day, 0.16 a second.
 #ifndef FIREFLYSPAR_OPERATORS_AUDIT_TRAIL_H_
 #define FIREFLYSPAR_OPERATORS_AUDIT_TRAIL_H_
 
@@ -26,11 +25,15 @@
 
 namespace fireflyspar::operators {
 
-inline constexpr std::size_t kMaxSegmentBytes = 128 * 1000;
-inline constexpr std::uint64_t kMaxSegments = 128;
+// Where an entry was appended.
+struct append_result {
+  std::uint64_t segment = 0;
+  bool began_segment = false;  // It is the segment's first.
+};
 
 // Appends a pending entry, once, however often its answer is lost.
-base::status AppendEntry(const context& with, const audit_entry& entry);
+base::result<append_result> AppendEntry(const context& with,
+                                        const audit_entry& entry);
 
 // Notes an entry's outcome and settles others that are still pending. Nothing
 // is lost when this fails: the entry is settled later.
@@ -41,6 +44,10 @@
 base::result<std::vector<audit_entry>> ReadTrail(const context& with,
                                                  std::size_t limit);
 
+// The entries of one segment, as they are stored; none when it isn't there.
+base::result<std::vector<audit_entry>> EntriesOfSegment(const context& with,
+                                                        std::uint64_t number);
+
 // Entries of the last few segments, as they are stored.
 base::result<std::vector<audit_entry>> RecentEntries(const context& with);
 
