Give every judge all evidence in a small fleet; keep the HTTP library's pool small

Cause: the measured judgement pools all nodes' reports, but the product sent them to the own data centre's judges only, a third of the evidence on three data centres. Up to 128 nodes reports now go to all judges. Ruled out for larger fleets: at 2,000 nodes a judge would hear about 4,000 reports a second. The pool's size was set after the first client had started its 40 threads.

--- a/src/app/node_command.cc
+++ b/src/app/node_command.cc
@@ -6,6 +6,7 @@
 #include "app/node.h"
 #include "app/node_settings.h"
 #include "base/log.h"
+#include "operators/endpoint.h"
 
 namespace fireflyspar::app {
 namespace {
@@ -65,6 +66,8 @@
   if (!line.parsed) return line.exit_code;
 
   const sigset_t signals = BlockEndingSignals();
+  constexpr int kPoolThreads = 4;  // For operators and the platform.
+  operators::SetPoolThreads(kPoolThreads);
   base::StartLog(ToLogLevel(line.parsed->Text("log-level")));
   node running(ToNodeOptions(*line.parsed));
   if (const base::status started = running.Start(); !started) {
--- a/src/nodes/mesh.h
+++ b/src/nodes/mesh.h
@@ -81,7 +81,8 @@
   // Changes the record of the backend server beside this node and spreads it.
   void SetServer(const decisions::server_record& server);
 
-  // Sends the report to the judges of its move, chosen by rendezvous hash.
+  // Sends the report to the judges of its move, chosen by rendezvous hash: this
+  // data centre's, and in a small fleet every other's as well.
   void SendEvidence(const decisions::evidence_report& report);
 
   // Adds peers to try, as found in the platform's roster.
--- a/src/nodes/mesh_loop.cc
+++ b/src/nodes/mesh_loop.cc
@@ -42,6 +42,12 @@
 constexpr duration kPullMostDelay = seconds(2);
 constexpr std::size_t kMaxTellers = 16;
 
+// In a fleet of at most so many nodes a report goes to the judges of every data
+// centre, since calls are few there and each judge needs all of the evidence.
+// Beyond it a data centre has calls enough to judge by its own, and a judge
+// would hear thousands of reports a second.
+constexpr std::size_t kMostPooledNodes = 128;
+
 // Messages of one comparison: digest, versions, records.
 constexpr int kComparisonSteps = 4;
 
@@ -438,12 +444,21 @@
 }
 
 void mesh_loop::SendEvidence(const decisions::evidence_report& report) {
-  std::vector<std::string> ids{options_.node_id};
-  for (const auto* peer : members_.LivingPeers(options_.data_centre)) {
+  SendEvidenceTo(options_.data_centre, report);
+  if (members_.Members().size() > kMostPooledNodes) return;
+  for (const std::string& data_centre : members_.OtherDataCentres()) {
+    SendEvidenceTo(data_centre, report);
+  }
+}
+
+void mesh_loop::SendEvidenceTo(const std::string& data_centre,
+                               const decisions::evidence_report& report) {
+  std::vector<std::string> ids;
+  if (data_centre == options_.data_centre) ids.push_back(options_.node_id);
+  for (const auto* peer : members_.LivingPeers(data_centre)) {
     ids.push_back(peer->node_id);
   }
-  const std::string job =
-      JobKey(JudgeJob(report.move_id), options_.data_centre);
+  const std::string job = JobKey(JudgeJob(report.move_id), data_centre);
   for (const std::string& judge :
        decisions::ChooseByRendezvous(job, ids, kJudges)) {
     if (judge != options_.node_id) {
--- a/src/nodes/mesh_loop.h
+++ b/src/nodes/mesh_loop.h
@@ -82,6 +82,8 @@
   kj::Promise<bool> ProbeFor(const base::address& target);
   void Heard(const gossip& message);
   void TellVersion(base::instant now);
+  void SendEvidenceTo(const std::string& data_centre,
+                      const decisions::evidence_report& report);
 
   // Configurations.
   void Pull();
--- a/src/operators/endpoint.cc
+++ b/src/operators/endpoint.cc
@@ -63,18 +63,21 @@
   return {.status = row.http_status, .body = body.dump() + "\n"};
 }
 
+void SetPoolThreads(int threads) {
+  try {
+    crossplat::threadpool::initialize_with_threads(
+        static_cast<std::size_t>(threads));
+  } catch (const std::exception&) {
+    // The pool is in use already, as in a test that runs several nodes.
+  }
+}
+
 class endpoint::state {
  public:
   explicit state(endpoint_options options) : options_(std::move(options)) {}
 
   base::status Start() {
     const std::string uri = "http://" + options_.listen_address.ToText();
-    try {
-      // Fails when the process has set the pool's size before; the pool is
-      // shared, so the first to come decides.
-      crossplat::threadpool::initialize_with_threads(options_.threads);
-    } catch (const std::exception&) {
-    }
     try {
       listener_ = std::make_unique<http_listener>(uri);
       listener_->support(
--- a/src/operators/endpoint.h
+++ b/src/operators/endpoint.h
@@ -31,9 +31,13 @@
   std::function<endpoint_answer(const std::string& body)> run;
 };
 
+// Sets the size of cpprestsdk's pool of threads, which the whole process
+// shares; to be called before anything else uses that library, whose own
+// default is 40.
+void SetPoolThreads(int threads);
+
 struct endpoint_options {
   base::address listen_address;
-  int threads = 2;  // Of cpprestsdk's pool, which the process shares.
   std::size_t max_body_bytes = 64 * 1024;
   std::vector<endpoint_handler> handlers;
 };
