Clean the call path's lint

Error codes that Asio both returns and sets are taken from the return value. callers_test 37 cases, decisions_test 41, backend_servers_test 2 and base_test 15 pass.

--- a/lab/backend_server.cc
+++ b/lab/backend_server.cc
@@ -125,10 +125,12 @@
 base::status backend_server::state::Start() {
   error_code error;
   const tcp::endpoint endpoint = backend_servers::ToEndpoint(options_.address);
-  acceptor_.open(endpoint.protocol(), error);
-  acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  acceptor_.bind(endpoint, error);
-  if (!error) acceptor_.listen(net::socket_base::max_listen_connections, error);
+  error = acceptor_.open(endpoint.protocol(), error);
+  if (!error)
+    error = acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) error = acceptor_.bind(endpoint, error);
+  if (!error)
+    error = acceptor_.listen(net::socket_base::max_listen_connections, error);
   if (error) {
     return base::Fail(base::error_kind::kBadSettings,
                       options_.address.ToText() + ": " + error.message());
@@ -174,7 +176,7 @@
     tcp::socket socket(home.loop);
     co_await acceptor_.async_accept(socket, token);
     if (error) continue;
-    socket.set_option(tcp::no_delay(true), error);
+    error = socket.set_option(tcp::no_delay(true), error);
     net::co_spawn(home.loop,
                   Serve(std::make_unique<connection>(std::move(socket))),
                   net::detached);
--- a/lab/call_overhead.cc
+++ b/lab/call_overhead.cc
@@ -50,10 +50,11 @@
                     .version = "v1",
                     .slots = kSlots,
                     .state = decisions::server_state::kServing}});
-    started_ = started_ &&
-               gate_.Announce({.server_address = server,
-                               .server = view_->members.front().server})
-                   .Ok();
+    started_ =
+        started_ && gate_
+                        .Announce({.server_address = server,
+                                   .server = view_->members.front().server})
+                        .Ok();
   }
 
   bool Started() const { return started_; }
@@ -134,16 +135,15 @@
 }
 
 nlohmann::json Report(std::vector<way>& ways) {
-  constexpr std::array kQuantiles = {std::pair{"p50", 0.5},
-                                     std::pair{"p99", 0.99},
-                                     std::pair{"p999", 0.999}};
+  constexpr std::array kQuantiles = {
+      std::pair{"p50", 0.5}, std::pair{"p99", 0.99}, std::pair{"p999", 0.999}};
   for (way& each : ways) std::ranges::sort(each.all.latencies);
   const way& direct = ways.front();
   nlohmann::json report = nlohmann::json::object();
   for (const way& each : ways) {
     nlohmann::json row = each.all.ToJson();
-    const auto calls = static_cast<double>(std::max<std::int64_t>(
-        1, each.all.sent));
+    const auto calls =
+        static_cast<double>(std::max<std::int64_t>(1, each.all.sent));
     row["cpu_us_per_call"] = static_cast<double>(each.cpu.count()) / calls;
     for (const auto& [name, quantile] : kQuantiles) {
       const microseconds added =
@@ -218,8 +218,7 @@
   std::unique_ptr<relay_baseline> baseline;
   if (from.Switch("baseline")) {
     baseline = std::make_unique<relay_baseline>(server.Address());
-    ways.push_back(
-        {.name = "cpprestsdk_relay", .target = baseline->Address()});
+    ways.push_back({.name = "cpprestsdk_relay", .target = baseline->Address()});
   }
   load_options load{.rate = static_cast<double>(from.Number("rate")),
                     .duration = milliseconds(200),
--- a/lab/load.cc
+++ b/lab/load.cc
@@ -98,7 +98,8 @@
       const auto endpoint = backend_servers::ToEndpoint(options_.target);
       co_await held->stream.async_connect(endpoint, token);
       if (!error) {
-        held->stream.socket().set_option(net::ip::tcp::no_delay(true), error);
+        error = held->stream.socket().set_option(net::ip::tcp::no_delay(true),
+                                                 error);
       }
     }
     // The server echoes the target, which tells whose answer it is.
--- a/lab/relay_baseline.cc
+++ b/lab/relay_baseline.cc
@@ -22,17 +22,21 @@
   bound.sin_family = AF_INET;
   bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(bound);
-  ::bind(socket, reinterpret_cast<sockaddr*>(&bound), size);
-  ::getsockname(socket, reinterpret_cast<sockaddr*>(&bound), &size);
+  const bool is_bound =
+      ::bind(socket, reinterpret_cast<sockaddr*>(&bound), size) == 0;
+  if (is_bound)
+    ::getsockname(socket, reinterpret_cast<sockaddr*>(&bound), &size);
   ::close(socket);
   return {.ip = "127.0.0.1", .port = ntohs(bound.sin_port)};
 }
 
-void Relay(web::http::client::http_client& client, http_request request) {
+void Relay(web::http::client::http_client& client,
+           const http_request& request) {
   http_request onward(request.method());
   onward.set_request_uri(request.relative_uri());
   client.request(onward)
-      .then([](http_response answer) {
+      .then([](const http_response& received) {
+        http_response answer = received;
         return answer.extract_vector().then(
             [answer](const std::vector<unsigned char>& body) {
               http_response whole(answer.status_code());
--- a/src/backend_servers/exchange.cc
+++ b/src/backend_servers/exchange.cc
@@ -51,7 +51,7 @@
   co_await fresh.stream.async_connect(endpoint, token);
   if (!error) {
     error_code ignored;
-    fresh.stream.socket().set_option(tcp::no_delay(true), ignored);
+    ignored = fresh.stream.socket().set_option(tcp::no_delay(true), ignored);
   }
   co_return error;
 }
--- a/src/backend_servers/http.h
+++ b/src/backend_servers/http.h
@@ -33,9 +33,9 @@
 using http_request = http::request<http::string_body>;
 using http_response = http::response<http::string_body>;
 
-inline constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
-inline constexpr std::uint64_t kMaxRequestBytes = 1024 * 1024;
-inline constexpr std::uint64_t kMaxResponseBytes = 8 * 1024 * 1024;
+inline constexpr std::size_t kMaxHeaderBytes = 16'384;
+inline constexpr std::uint64_t kMaxRequestBytes = 1'048'576;
+inline constexpr std::uint64_t kMaxResponseBytes = 8'388'608;
 
 // A connection and what was read from it beyond the last message.
 struct connection {
--- a/src/callers/claim_keeper.cc
+++ b/src/callers/claim_keeper.cc
@@ -21,8 +21,8 @@
 using decisions::member_record;
 using decisions::request_id;
 
-constexpr std::size_t kMaxStoredAnswer = 64 * 1024;
-constexpr std::size_t kMaxStoredBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxStoredAnswer = 65'536;
+constexpr std::size_t kMaxStoredBytes = 16'777'216;
 
 // A refusal of an id of which an earlier try may have run.
 gate_answer Unknown(error_kind kind, std::string detail) {
--- a/src/callers/http_listener.cc
+++ b/src/callers/http_listener.cc
@@ -57,7 +57,7 @@
 
 void StopWatching(connection& client) {
   error_code ignored;
-  client.stream.socket().cancel(ignored);
+  ignored = client.stream.socket().cancel(ignored);
 }
 
 // What to tell a caller whose request could not be read; nothing when there is
@@ -111,9 +111,9 @@
 // our side first, and takes in for a moment what the caller still sends.
 net::awaitable<void> CloseGently(connection& client) {
   error_code error;
-  client.stream.socket().shutdown(tcp::socket::shutdown_send, error);
+  error = client.stream.socket().shutdown(tcp::socket::shutdown_send, error);
   constexpr std::chrono::milliseconds kLinger{500};
-  constexpr std::size_t kMostTakenIn = 4 * 1024 * 1024;
+  constexpr std::size_t kMostTakenIn = 4'194'304;
   client.stream.expires_after(kLinger);
   std::array<char, 4096> taken{};
   std::size_t total = 0;
@@ -182,18 +182,15 @@
   const base::address& wanted = shared_->options.address;
   const tcp::endpoint endpoint = backend_servers::ToEndpoint(wanted);
   acceptor_ = std::make_unique<tcp::acceptor>(workers_.At(0).loop);
-  const auto fails = [&error](auto&& step) {
-    step();
-    return static_cast<bool>(error);
-  };
-  const bool failed =
-      fails([&] { acceptor_->open(endpoint.protocol(), error); }) || fails([&] {
-        acceptor_->set_option(tcp::acceptor::reuse_address(true), error);
-      }) ||
-      fails([&] { acceptor_->bind(endpoint, error); }) || fails([&] {
-        acceptor_->listen(net::socket_base::max_listen_connections, error);
-      });
-  if (failed) {
+  error = acceptor_->open(endpoint.protocol(), error);
+  if (!error) {
+    error = acceptor_->set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) error = acceptor_->bind(endpoint, error);
+  if (!error) {
+    error = acceptor_->listen(net::socket_base::max_listen_connections, error);
+  }
+  if (error) {
     return base::Fail(
         error_kind::kBadSettings,
         "can't listen on " + wanted.ToText() + ": " + error.message());
@@ -220,7 +217,7 @@
       continue;
     }
     if (shared_->connections >= shared_->options.max_connections) continue;
-    socket.set_option(tcp::no_delay(true), error);
+    error = socket.set_option(tcp::no_delay(true), error);
     auto client = std::make_unique<connection>(std::move(socket));
     net::co_spawn(home.loop, Serve(shared_, home, std::move(client)),
                   net::detached);
@@ -283,7 +280,7 @@
   if (!acceptor_) return;
   net::post(acceptor_->get_executor(), [this] {
     error_code ignored;
-    acceptor_->close(ignored);
+    ignored = acceptor_->close(ignored);
   });
 }
 
--- a/src/callers/router.cc
+++ b/src/callers/router.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <chrono>
+#include <cinttypes>
 #include <cstdio>
 #include <optional>
 #include <utility>
@@ -65,9 +66,8 @@
 
 std::string NewRequestId(const base::random_hook& random) {
   std::array<char, 33> text{};
-  std::snprintf(text.data(), text.size(), "%016llx%016llx",
-                static_cast<unsigned long long>(random()),
-                static_cast<unsigned long long>(random()));
+  std::snprintf(text.data(), text.size(), "%016" PRIx64 "%016" PRIx64, random(),
+                random());
   return text.data();
 }
 
