--- a/src/decisions/request_claims.h
+++ b/src/decisions/request_claims.h
@@ -42,7 +42,7 @@
 
 class request_claims {
  public:
-  request_claims(base::instant started, claim_options options = {});
+  explicit request_claims(base::instant started, claim_options options = {});
 
   // As the id's home, `claimant`, which dispatches when this and the guard's
   // answer are kGranted. An id is granted here once.
