--- a/lab/experiments.cc
+++ b/lab/experiments.cc
@@ -4,6 +4,7 @@
 #include "lab/call_overhead.h"
 #include "lab/mesh_experiments.h"
 #include "lab/move_experiment.h"
+#include "lab/routing_cost.h"
 
 namespace fireflyspar::lab {
 
@@ -24,6 +25,9 @@
       {.name = "control-cost",
        .summary = "bytes and processor time that nodes spend on each other",
        .run = RunControlCostExperiment},
+      {.name = "routing-cost",
+       .summary = "time to find a call's servers in a large fleet",
+       .run = RunRoutingCost},
   };
 }
 
--- a/src/callers/dispatch.cc
+++ b/src/callers/dispatch.cc
@@ -90,8 +90,9 @@
   const double unit = base::Unit(options_.random());
   target.version =
       decisions::ChooseVersion(*call.service, view.moves, share, unit);
-  const std::vector<const member_record*> usable = decisions::UsableServers(
-      view.members, call.service->name, target.version);
+  const indexed_view_ptr indexed = IndexOf(call.view);
+  const auto usable =
+      indexed->servers.Usable(call.service->name, target.version);
   std::vector<candidate> candidates;
   candidates.reserve(usable.size());
   std::ranges::transform(
@@ -105,6 +106,19 @@
   return target;
 }
 
+dispatcher::indexed_view_ptr dispatcher::IndexOf(
+    const decisions::fleet_view_ptr& view) {
+  {
+    const std::lock_guard lock(index_mutex_);
+    if (indexed_ && indexed_->view == view) return indexed_;
+  }
+  // Built without the lock; two threads that build it at once do no harm.
+  auto built = std::make_shared<const indexed_view>(view);
+  const std::lock_guard lock(index_mutex_);
+  indexed_ = built;
+  return built;
+}
+
 net::awaitable<gate_answer> dispatcher::Dispatch(routed_call& call) {
   gate_answer answer =
       RefusedByGate(error_kind::kNoServer, "no backend server is usable");
--- a/src/callers/dispatch.h
+++ b/src/callers/dispatch.h
@@ -4,13 +4,17 @@
 #ifndef FIREFLYSPAR_CALLERS_DISPATCH_H_
 #define FIREFLYSPAR_CALLERS_DISPATCH_H_
 
+#include <memory>
+#include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "backend_servers/local_server.h"
 #include "callers/call_path.h"
 #include "callers/traffic.h"
 #include "callers/worker_pool.h"
+#include "decisions/server_index.h"
 
 namespace fireflyspar::callers {
 
@@ -59,8 +63,23 @@
               const backend_servers::gate_answer& answer,
               base::duration latency);
 
+  // A view with its index; keeps the view alive, which the index points into.
+  struct indexed_view {
+    explicit indexed_view(decisions::fleet_view_ptr of)
+        : view(std::move(of)), servers(view->members) {}
+
+    decisions::fleet_view_ptr view;
+    decisions::server_index servers;
+  };
+  using indexed_view_ptr = std::shared_ptr<const indexed_view>;
+
+  indexed_view_ptr IndexOf(const decisions::fleet_view_ptr& view);
+
   const call_path_options& options_;
   traffic& traffic_;
+
+  std::mutex index_mutex_;
+  indexed_view_ptr indexed_;  // Of the latest view that a call had.
 };
 
 }  // namespace fireflyspar::callers
--- a/src/decisions/routing.cc
+++ b/src/decisions/routing.cc
@@ -114,21 +114,4 @@
   return std::string(chosen);
 }
 
-std::vector<const member_record*> UsableServers(
-    std::span<const member_record> members, std::string_view service,
-    std::string_view version) {
-  std::vector<const member_record*> usable;
-  for (const member_record& member : members) {
-    const bool reachable = member.state == node_state::kAlive ||
-                           member.state == node_state::kSuspect;
-    const bool open = member.server.state == server_state::kServing ||
-                      member.server.state == server_state::kStarting;
-    if (reachable && open && member.server.service == service &&
-        member.server.version == version) {
-      usable.push_back(&member);
-    }
-  }
-  return usable;
-}
-
 }  // namespace fireflyspar::decisions
--- a/src/decisions/routing.h
+++ b/src/decisions/routing.h
@@ -53,12 +53,6 @@
                           std::span<const move> moves,
                           const moved_share_hook& moved_share, double unit);
 
-// The members whose backend server runs `version` of `service` and may be
-// given new work.
-std::vector<const member_record*> UsableServers(
-    std::span<const member_record> members, std::string_view service,
-    std::string_view version);
-
 }  // namespace fireflyspar::decisions
 
 #endif  // FIREFLYSPAR_DECISIONS_ROUTING_H_
--- a/tests/decisions/routing_test.cc
+++ b/tests/decisions/routing_test.cc
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <map>
 
+#include "decisions/server_index.h"
+
 namespace fireflyspar::decisions {
 namespace {
 
@@ -95,9 +97,10 @@
            .server = {.service = "s", .version = "v1", .state = state}});
     }
   }
-  CHECK(UsableServers(members, "s", "v1").size() == 4);
-  CHECK(UsableServers(members, "s", "v2").empty());
-  CHECK(UsableServers(members, "t", "v1").empty());
+  const server_index index(members);
+  CHECK(index.Usable("s", "v1").size() == 4);
+  CHECK(index.Usable("s", "v2").empty());
+  CHECK(index.Usable("t", "v1").empty());
 }
 
 }  // namespace
