One token bucket, one retry delay, one set of words for a move's state

Left behind by earlier work: three token buckets, two full-jitter delays and three tables of a move's states, each a little different.

The size of a small fleet is now an option; the old case holds as it was with pooling off, and a new one checks that exactly the four judges of both data centres hear with it on.

--- a/src/app/node_status.cc
+++ b/src/app/node_status.cc
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "decisions/move_state_text.h"
+
 namespace fireflyspar::app {
 namespace {
 
@@ -37,18 +39,6 @@
   return "";
 }
 
-std::string_view ToText(decisions::move_state state) {
-  switch (state) {
-    case decisions::move_state::kRunning:
-      return "running";
-    case decisions::move_state::kTakenBack:
-      return "taken_back";
-    case decisions::move_state::kDone:
-      return "done";
-  }
-  return "";
-}
-
 json ToJson(const decisions::member_record& member) {
   return {{"node_id", member.node_id},
           {"data_centre", member.data_centre},
@@ -61,7 +51,7 @@
 
 json ToJson(const decisions::move& move) {
   return {{"id", move.id},
-          {"state", ToText(move.state)},
+          {"state", decisions::ToText(move.state)},
           {"final", move.is_final},
           {"evidence", move.evidence}};
 }
@@ -77,7 +67,7 @@
 }  // namespace
 
 std::string MoveStateText(const decisions::move& move) {
-  std::string text(ToText(move.state));
+  std::string text(decisions::ToText(move.state));
   const bool is_over = move.state != decisions::move_state::kRunning;
   if (is_over && !move.is_final) text += "_not_final";
   return text;
--- /dev/null
+++ b/src/decisions/move_state_text.h
@@ -0,0 +1,27 @@
+// The words for a move's state, the same in the platform's objects, in the
+// command line's output, in a node's status and in logs.
+#ifndef FIREFLYSPAR_DECISIONS_MOVE_STATE_TEXT_H_
+#define FIREFLYSPAR_DECISIONS_MOVE_STATE_TEXT_H_
+
+#include <string_view>
+
+#include "decisions/move.h"
+
+namespace fireflyspar::decisions {
+
+// "running", "taken_back" or "done".
+inline std::string_view ToText(move_state state) {
+  switch (state) {
+    case move_state::kRunning:
+      return "running";
+    case move_state::kTakenBack:
+      return "taken_back";
+    case move_state::kDone:
+      break;
+  }
+  return "done";
+}
+
+}  // namespace fireflyspar::decisions
+
+#endif  // FIREFLYSPAR_DECISIONS_MOVE_STATE_TEXT_H_
--- a/src/decisions/rate_limit.cc
+++ b/src/decisions/rate_limit.cc
@@ -1,23 +1,10 @@
 #include "decisions/rate_limit.h"
 
-#include <algorithm>
-
 namespace fireflyspar::decisions {
-namespace {
-
-constexpr double kMicrosecondsPerSecond = 1e6;
-
-}  // namespace
-
 bool rate_limit::TryTake(int calls_per_second, base::instant now) {
   if (calls_per_second <= 0) return true;
-  const auto elapsed = static_cast<double>((now - filled_).count());
-  const double earned = elapsed / kMicrosecondsPerSecond * calls_per_second;
-  tokens_ = std::min<double>(calls_per_second, tokens_ + std::max(0.0, earned));
-  filled_ = std::max(filled_, now);
-  if (tokens_ < 1) return false;
-  tokens_ -= 1;
-  return true;
+  const auto rate = static_cast<double>(calls_per_second);
+  return bucket_.Take({.per_second = rate, .burst = rate}, now);
 }
 
 bool caller_limit::Enter(std::string_view caller, int most) {
--- a/src/decisions/rate_limit.h
+++ b/src/decisions/rate_limit.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "base/hooks.h"
+#include "base/token_bucket.h"
 
 namespace fireflyspar::decisions {
 
@@ -18,8 +19,7 @@
   bool TryTake(int calls_per_second, base::instant now);
 
  private:
-  double tokens_ = 0;
-  base::instant filled_;
+  base::token_bucket bucket_;
 };
 
 // Calls in flight by caller. A caller takes space only while it has a call.
--- a/src/nodes/mesh.h
+++ b/src/nodes/mesh.h
@@ -47,6 +47,12 @@
   base::random_hook random;
   base::metrics* metrics = nullptr;
 
+  // In a fleet of at most so many nodes evidence goes to the judges of every
+  // data centre, since calls are few there and each judge needs all of it.
+  // Beyond it a data centre has calls enough to judge by its own, and a judge
+  // would hear thousands of reports a second.
+  std::size_t most_pooled_nodes = 128;
+
   // Whether this node may now talk to that one; a test cuts data centres off
   // through it. Empty: always.
   std::function<bool(const base::address& peer)> may_connect;
@@ -82,7 +88,7 @@
   void SetServer(const decisions::server_record& server);
 
   // Sends the report to the judges of its move, chosen by rendezvous hash: this
-  // data centre's, and in a small fleet every other's as well.
+  // data centre's, and in a small fleet every other's (most_pooled_nodes).
   void SendEvidence(const decisions::evidence_report& report);
 
   // Adds peers to try, as found in the platform's roster.
--- a/src/nodes/mesh_loop.cc
+++ b/src/nodes/mesh_loop.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/retry_delay.h"
 #include "decisions/rendezvous.h"
 #include "nodes/job_key.h"
 
@@ -42,12 +43,6 @@
 constexpr duration kPullMostDelay = seconds(2);
 constexpr std::size_t kMaxTellers = 16;
 
-// In a fleet of at most so many nodes a report goes to the judges of every data
-// centre, since calls are few there and each judge needs all of the evidence.
-// Beyond it a data centre has calls enough to judge by its own, and a judge
-// would hear thousands of reports a second.
-constexpr std::size_t kMostPooledNodes = 128;
-
 // Messages of one comparison: digest, versions, records.
 constexpr int kComparisonSteps = 4;
 
@@ -77,7 +72,7 @@
       traffic_(metrics),
       members_({.self = OwnRecord(options, bound), .random = options.random}),
       dissemination_({.random = options.random}, members_, configuration_),
-      whole_texts_(decisions::sync_gate_options{}),
+      whole_texts_(),
       seeds_(options.seeds.begin(), options.seeds.end()),
       client_({.may_connect = options.may_connect}, io.provider->getNetwork(),
               timer_, traffic_),
@@ -129,8 +124,8 @@
   const bool joined = !peers_heard_.empty();
   next_join_ =
       now + (joined ? kReseedInterval
-                    : decisions::RetryDelay(joins_failed_++, kJoinFirstDelay,
-                                            kJoinMostDelay, options_.random()));
+                    : base::RetryDelay(joins_failed_++, kJoinFirstDelay,
+                                       kJoinMostDelay, options_.random()));
   std::set<base::address> living;
   for (const auto& [id, held] : members_.Members()) {
     const auto& record = held.record;
@@ -445,7 +440,7 @@
 
 void mesh_loop::SendEvidence(const decisions::evidence_report& report) {
   SendEvidenceTo(options_.data_centre, report);
-  if (members_.Members().size() > kMostPooledNodes) return;
+  if (members_.Members().size() > options_.most_pooled_nodes) return;
   for (const std::string& data_centre : members_.OtherDataCentres()) {
     SendEvidenceTo(data_centre, report);
   }
@@ -481,7 +476,7 @@
 }
 
 kj::Duration mesh_loop::Jitter(int failures, duration first, duration most) {
-  return ToKj(decisions::RetryDelay(failures, first, most, options_.random()));
+  return ToKj(base::RetryDelay(failures, first, most, options_.random()));
 }
 
 void mesh_loop::After(kj::Duration delay, std::function<void()> action) {
--- a/src/operators/move_cli.cc
+++ b/src/operators/move_cli.cc
@@ -2,6 +2,7 @@
 
 #include <iostream>
 
+#include "decisions/move_state_text.h"
 #include "operators/move_commands.h"
 #include "operators/time_text.h"
 
@@ -13,18 +14,6 @@
 using decisions::move_state;
 using nlohmann::ordered_json;
 
-std::string_view StateText(const move& value) {
-  switch (value.state) {
-    case move_state::kRunning:
-      return "running";
-    case move_state::kTakenBack:
-      return "taken_back";
-    case move_state::kDone:
-      break;
-  }
-  return "done";
-}
-
 ordered_json ToJson(const move& value) {
   return {{"move", value.id},
           {"service", value.service},
@@ -33,7 +22,7 @@
           {"start", TimeText(value.start)},
           {"by", TimeText(value.by)},
           {"operation_id", value.operation_id},
-          {"state", StateText(value)},
+          {"state", decisions::ToText(value.state)},
           {"final", value.is_final},
           {"evidence", value.evidence},
           {"ready_data_centres", value.ready_data_centres}};
@@ -42,7 +31,7 @@
 std::string Line(const move& value) {
   std::string text = value.id + ": " + value.service + " " + value.old_version +
                      " -> " + value.new_version + " by " + TimeText(value.by) +
-                     ": " + std::string(StateText(value));
+                     ": " + std::string(decisions::ToText(value.state));
   if (!value.is_final && value.state != move_state::kRunning) {
     text += ", not yet final";
   }
--- a/src/platform/backoff.h
+++ b/src/platform/backoff.h
@@ -1,14 +1,13 @@
-// Full-jitter exponential backoff: the wait before a retry is uniform between
-// zero and a limit that doubles with each failure in a row. When a herd of
-// processes loses the platform at one moment its retries spread over the whole
-// limit instead of coming back together.
+// The waits between one job's tries at the platform (base/retry_delay.h), which
+// begin anew after each success.
 #ifndef FIREFLYSPAR_PLATFORM_BACKOFF_H_
 #define FIREFLYSPAR_PLATFORM_BACKOFF_H_
 
-#include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include "base/hooks.h"
+#include "base/retry_delay.h"
 
 namespace fireflyspar::platform {
 
@@ -20,25 +19,21 @@
 class backoff {
  public:
   backoff(backoff_options options, base::random_hook random)
-      : options_(options), random_(std::move(random)), limit_(options.first) {}
+      : options_(options), random_(std::move(random)) {}
 
-  // The wait before the next try. With first 200 ms and most 2,000 ms the
-  // limits run 200, 400, 800, 1,600, 2,000, 2,000, ...
+  // The wait before the next try.
   base::duration Next() {
-    const auto limit = std::chrono::duration_cast<base::duration>(limit_);
-    limit_ = std::min(limit_ * 2, options_.most);
-    const double wait =
-        base::Unit(random_()) * static_cast<double>(limit.count());
-    return base::duration(static_cast<std::int64_t>(wait));
+    return base::RetryDelay(failures_++, options_.first, options_.most,
+                            random_());
   }
 
   // Called after a success.
-  void Reset() { limit_ = options_.first; }
+  void Reset() { failures_ = 0; }
 
  private:
   backoff_options options_;
   base::random_hook random_;
-  std::chrono::milliseconds limit_;
+  int failures_ = 0;  // In a row.
 };
 
 }  // namespace fireflyspar::platform
--- a/src/platform/call_budget.h
+++ b/src/platform/call_budget.h
@@ -7,13 +7,11 @@
 #include <mutex>
 
 #include "base/hooks.h"
+#include "base/token_bucket.h"
 
 namespace fireflyspar::platform {
 
-struct call_rate {
-  double per_second = 0;
-  double burst = 0;
-};
+using call_rate = base::bucket_rate;
 
 struct call_budget_options {
   base::clock_hook clock;
@@ -26,22 +24,18 @@
   explicit call_budget(call_budget_options options);
 
   // True when the call may be made now; it is then counted.
-  bool TakeRead() { return Take(reads_); }
-  bool TakeWrite() { return Take(writes_); }
+  bool TakeRead() { return Take(reads_, read_rate_); }
+  bool TakeWrite() { return Take(writes_, write_rate_); }
 
  private:
-  struct bucket {
-    call_rate rate;
-    double tokens = 0;
-    base::instant filled_at;
-  };
-
-  bool Take(bucket& from);
+  bool Take(base::token_bucket& from, const call_rate& rate);
 
   std::mutex mutex_;
   base::clock_hook clock_;
-  bucket reads_;
-  bucket writes_;
+  call_rate read_rate_;
+  call_rate write_rate_;
+  base::token_bucket reads_;
+  base::token_bucket writes_;
 };
 
 }  // namespace fireflyspar::platform
--- a/src/platform/outcome_writer.cc
+++ b/src/platform/outcome_writer.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "decisions/move_state_text.h"
 #include "platform/reachability.h"
 #include "platform/records.h"
 #include "platform/worker_thread.h"
@@ -149,12 +150,10 @@
     if (!put) return put.Failure();
     ++written_;
     if (joined.is_final) {
-      base::LogInfo(
-          "move_outcome_written",
-          {{"move", joined.id},
-           {"outcome",
-            joined.state == move_state::kDone ? "done" : "taken_back"},
-           {"evidence", joined.evidence}});
+      base::LogInfo("move_outcome_written",
+                    {{"move", joined.id},
+                     {"outcome", std::string(decisions::ToText(joined.state))},
+                     {"evidence", joined.evidence}});
     }
     return std::optional(joined);
   }
--- a/src/platform/records.cc
+++ b/src/platform/records.cc
@@ -1,6 +1,10 @@
 #include "platform/records.h"
 
+#include <algorithm>
+#include <array>
+
 #include "config/json_document.h"
+#include "decisions/move_state_text.h"
 
 namespace fireflyspar::platform {
 namespace {
@@ -14,34 +18,18 @@
 
 constexpr std::size_t kMaxRecordBytes = 65'536;
 
-constexpr std::string_view kRunningText = "running";
-constexpr std::string_view kTakenBackText = "taken_back";
-constexpr std::string_view kDoneText = "done";
-
-std::string_view ToText(decisions::move_state state) {
-  switch (state) {
-    case decisions::move_state::kRunning:
-      return kRunningText;
-    case decisions::move_state::kTakenBack:
-      return kTakenBackText;
-    case decisions::move_state::kDone:
-      break;
-  }
-  return kDoneText;
-}
-
 config::value_reader ReadState(decisions::move_state& to) {
   return [&to](const json& value, const std::string& at, faults& out) {
-    if (value == kRunningText) {
-      to = decisions::move_state::kRunning;
-    } else if (value == kTakenBackText) {
-      to = decisions::move_state::kTakenBack;
-    } else if (value == kDoneText) {
-      to = decisions::move_state::kDone;
-    } else {
-      out.push_back(
-          {at, config::Excerpt(value), R"("running", "taken_back" or "done")"});
+    using enum decisions::move_state;
+    constexpr std::array kStates = {kRunning, kTakenBack, kDone};
+    const auto found = std::ranges::find_if(
+        kStates, [&](auto state) { return value == decisions::ToText(state); });
+    if (found != kStates.end()) {
+      to = *found;
+      return;
     }
+    out.push_back(
+        {at, config::Excerpt(value), R"("running", "taken_back" or "done")"});
   };
 }
 
--- a/tests/nodes/failure_test.cc
+++ b/tests/nodes/failure_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <future>
+#include <set>
 #include <string>
 
 #include "decisions/membership.h"
@@ -127,8 +128,10 @@
   CHECK(Eventually([&] { return count(1); }));
 }
 
-TEST_CASE("evidence reaches the judges of its move, who know that they are") {
-  fleet nodes;
+// Sends a report from one data centre and checks that exactly `expected` nodes
+// hear it, and that these are the judges of the data centres in `heard_in`.
+void CheckWhoHears(fleet& nodes, std::int64_t expected,
+                   const std::set<std::string>& heard_in) {
   AddDataCentre(nodes, "fukuoka", 5);
   AddDataCentre(nodes, "kumamoto", 3);
   REQUIRE(Eventually([&] { return nodes.Agree(); }));
@@ -140,14 +143,25 @@
       return node->evidence_reports.load() > 0;
     });
   };
-  CHECK(Eventually([&] { return judges() == 2; }));
+  CHECK(Eventually([&] { return judges() == expected; }));
   for (const fleet_node* node : nodes.Running()) {
-    const bool is_judge = node->data_centre == "fukuoka" &&
+    const bool is_judge = heard_in.contains(node->data_centre) &&
                           node->running->HasJob(JudgeJob("m"), kJudges);
     CHECK(is_judge == (node->evidence_reports.load() > 0));
   }
 }
 
+TEST_CASE("evidence reaches the judges of its move, who know that they are") {
+  fleet nodes;
+  nodes.most_pooled_nodes = 0;
+  CheckWhoHears(nodes, 2, {"fukuoka"});
+}
+
+TEST_CASE("in a small fleet evidence reaches every data centre's judges") {
+  fleet nodes;
+  CheckWhoHears(nodes, 4, {"fukuoka", "kumamoto"});
+}
+
 TEST_CASE("a node that was paused comes back and declares nobody dead") {
   fleet nodes;
   std::promise<void> wake;
--- a/tests/nodes/fleet.cc
+++ b/tests/nodes/fleet.cc
@@ -58,6 +58,7 @@
       .clock = base::SystemClock(),
       .random = base::SystemRandom(),
       .metrics = &node.metrics,
+      .most_pooled_nodes = most_pooled_nodes,
       .may_connect =
           [this, data_centre](const base::address& peer) {
             return MayConnect(data_centre, peer);
--- a/tests/nodes/fleet.h
+++ b/tests/nodes/fleet.h
@@ -40,6 +40,9 @@
  public:
   ~fleet();
 
+  // Of the nodes started from then on.
+  std::size_t most_pooled_nodes = mesh_options{}.most_pooled_nodes;
+
   // Starts a node; it knows the first started node as its seed.
   fleet_node& Add(const std::string& id, const std::string& data_centre);
 
