--- a/lab/relay_baseline.cc
+++ b/lab/relay_baseline.cc
@@ -36,7 +36,7 @@
   http_request onward(request.method());
   onward.set_request_uri(request.relative_uri());
   client.request(onward)
-      .then([](http_response answer) {
+      .then([](const http_response& answer) {
         return answer.extract_vector().then(
             [answer](const std::vector<unsigned char>& body) {
               http_response whole(answer.status_code());
