Send the stand-in's last answers before closing its connections

Cause: platform_test crashed in cpprestsdk, seen in 1 run of 8 and once under ctest, in cases with lost or hung answers: the stand-in answered what waited and closed the listener at once, and the library began to write on a closed socket. Ruled out: the product's client; the crash was in a task of the listener's side as the stand-in ended.

--- a/lab/platform_http.cc
+++ b/lab/platform_http.cc
@@ -82,13 +82,13 @@
             {{"error", error.what()}});
 }
 
-void Send(const http_request& request, const answer& made) {
+pplx::task<void> Send(const http_request& request, const answer& made) {
   web::http::http_response response(made.status);
   response.set_body(made.body, "application/json");
   if (made.status == status_codes::TooManyRequests) {
     response.headers().add("Retry-After", "1");
   }
-  request.reply(response).then([](const pplx::task<void>& sent) {
+  return request.reply(response).then([](const pplx::task<void>& sent) {
     try {
       sent.get();
     } catch (const std::exception& error) {
--- a/lab/platform_http.h
+++ b/lab/platform_http.h
@@ -23,8 +23,10 @@
 
 answer ErrorAnswer(web::http::status_code status, std::string_view reason);
 
-// Returns at once.
-void Send(const web::http::http_request& request, const answer& made);
+// Returns at once; the task ends once the answer is sent or its connection has
+// broken, and never fails.
+pplx::task<void> Send(const web::http::http_request& request,
+                      const answer& made);
 
 // A client that goes away within an exchange is no fault of the stand-in's.
 void LogBroken(const std::exception& error);
--- a/lab/platform_stand_in.cc
+++ b/lab/platform_stand_in.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <functional>
+#include <iterator>
 #include <list>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -135,7 +136,9 @@
       for (numbered& each : parked_) waiting.push_back(each.request);
       parked_.clear();
     }
-    AnswerAll(waiting);
+    // The library crashes when it closes a connection while an answer on it is
+    // about to be written, so the answers go first.
+    for (const pplx::task<void>& sent : AnswerAll(waiting)) sent.wait();
     try {
       if (listener_) listener_->close().wait();
     } catch (const std::exception& error) {
@@ -144,10 +147,16 @@
     listener_.reset();
   }
 
-  static void AnswerAll(const std::list<http_request>& requests) {
-    std::ranges::for_each(requests, [](const http_request& each) {
-      Send(each, ErrorAnswer(status_codes::ServiceUnavailable, "stopped"));
-    });
+  static std::vector<pplx::task<void>> AnswerAll(
+      const std::list<http_request>& requests) {
+    std::vector<pplx::task<void>> sent;
+    sent.reserve(requests.size());
+    std::ranges::transform(
+        requests, std::back_inserter(sent), [](const http_request& each) {
+          return Send(each,
+                      ErrorAnswer(status_codes::ServiceUnavailable, "stopped"));
+        });
+    return sent;
   }
 
   // Runs what was put off: slow answers, the ends of watches, refusing.
