Use one piece for ending signals, free ports and living members

Found on reading the change again: three ways to wait for SIGTERM (two the same, one that polled), a second search for a free port, and three more copies of IsLiving. Each now calls one: base/end_signals.h, lab's FreePort and decisions::IsLiving.

--- a/lab/backend_server_command.cc
+++ b/lab/backend_server_command.cc
@@ -1,8 +1,9 @@
-#include <csignal>
+#include <chrono>
 #include <iostream>
 #include <thread>
 #include <vector>
 
+#include "base/end_signals.h"
 #include "base/settings.h"
 #include "lab/backend_server.h"
 
@@ -12,9 +13,6 @@
 using base::setting;
 using base::setting_kind;
 
-// Set by SIGTERM and SIGINT.
-volatile std::sig_atomic_t asked_to_stop = 0;
-
 std::vector<setting> Table() {
   using enum setting_kind;
   return {
@@ -120,13 +118,6 @@
           .bad_above = number("bad-above")};
 }
 
-void WaitForSignal() {
-  std::signal(SIGTERM, [](int) { asked_to_stop = 1; });
-  std::signal(SIGINT, [](int) { asked_to_stop = 1; });
-  constexpr std::chrono::milliseconds kPoll{20};
-  while (asked_to_stop == 0) std::this_thread::sleep_for(kPoll);
-}
-
 // Announces the leaving, and stays until new requests have ceased to come.
 void Leave(backend_server& server) {
   constexpr std::chrono::milliseconds kPoll{20};
@@ -152,6 +143,7 @@
        .table = table},
       arguments);
   if (!line.parsed) return line.exit_code;
+  const base::end_signals signals;
   backend_server server(ReadOptions(*line.parsed));
   const base::status started = server.Start();
   if (!started) {
@@ -159,7 +151,7 @@
     return base::AnswerFor(started.Failure().Kind()).exit_code;
   }
   std::cout << server.Address().ToText() << std::endl;
-  WaitForSignal();
+  signals.Wait();
   Leave(server);
   return 0;
 }
--- a/lab/platform_command.cc
+++ b/lab/platform_command.cc
@@ -5,9 +5,8 @@
 
 // After <utility>, which a header of Boost's below it leaves out.
 #include <pplx/threadpool.h>
-#include <pthread.h>
-#include <signal.h>
 
+#include "base/end_signals.h"
 #include "base/settings.h"
 #include "lab/platform_stand_in.h"
 
@@ -29,17 +28,6 @@
                           "{\"slow_ms\":200,\"reads_per_second\":2000}"},
 };
 
-// Signals are blocked before any thread starts, so that only this waits for
-// them.
-sigset_t BlockStopSignals() {
-  sigset_t stop_signals;
-  sigemptyset(&stop_signals);
-  sigaddset(&stop_signals, SIGTERM);
-  sigaddset(&stop_signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &stop_signals, nullptr);
-  return stop_signals;
-}
-
 }  // namespace
 
 int RunPlatform(std::span<const std::string> arguments) {
@@ -54,7 +42,7 @@
     std::cerr << "--faults: " << faults.Failure().detail << '\n';
     return base::AnswerFor(base::error_kind::kBadSettings).exit_code;
   }
-  const sigset_t stop_signals = BlockStopSignals();
+  const base::end_signals signals;
   crossplat::threadpool::initialize_with_threads(kPoolThreads);
   platform_stand_in stand_in(
       {.address = line.parsed->Address("address"), .faults = *faults});
@@ -65,8 +53,7 @@
   }
   std::cout << "platform listens on " << stand_in.Address().ToText()
             << std::endl;
-  int signal = 0;
-  sigwait(&stop_signals, &signal);
+  signals.Wait();
   stand_in.Stop();
   return 0;
 }
--- a/lab/relay_baseline.cc
+++ b/lab/relay_baseline.cc
@@ -1,36 +1,18 @@
 #include "lab/relay_baseline.h"
 
-#include <arpa/inet.h>
 #include <cpprest/http_client.h>
 #include <cpprest/http_listener.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <exception>
 
+#include "lab/platform_http.h"
+
 namespace fireflyspar::lab {
 namespace {
 
 using web::http::http_request;
 using web::http::http_response;
 
-// The library can't tell which port it was given, so a free one is found first.
-base::address FreeAddress() {
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in bound{};
-  bound.sin_family = AF_INET;
-  bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(bound);
-  const bool is_bound =
-      ::bind(socket, reinterpret_cast<sockaddr*>(&bound), size) == 0;
-  if (is_bound) {
-    ::getsockname(socket, reinterpret_cast<sockaddr*>(&bound), &size);
-  }
-  ::close(socket);
-  return {.ip = "127.0.0.1", .port = ntohs(bound.sin_port)};
-}
-
 void Relay(web::http::client::http_client& client,
            const http_request& request) {
   http_request onward(request.method());
@@ -58,7 +40,7 @@
 class relay_baseline::state {
  public:
   explicit state(const base::address& target)
-      : address_(FreeAddress()),
+      : address_({.ip = "127.0.0.1", .port = FreePort()}),
         client_("http://" + target.ToText()),
         listener_("http://" + address_.ToText()) {
     listener_.support(
--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -1,7 +1,6 @@
 #include "app/node.h"
 
 #include <atomic>
-#include <csignal>
 #include <map>
 #include <span>
 #include <thread>
--- a/src/app/node_command.cc
+++ b/src/app/node_command.cc
@@ -1,10 +1,8 @@
-#include <pthread.h>
-
-#include <csignal>
 #include <iostream>
 
 #include "app/node.h"
 #include "app/node_settings.h"
+#include "base/end_signals.h"
 #include "base/log.h"
 #include "operators/endpoint.h"
 
@@ -18,22 +16,6 @@
   return base::log_level::kInfo;
 }
 
-// Blocks the signals that end a node, in this thread and in those it starts
-// later, so that only WaitForSignal sees them.
-sigset_t BlockEndingSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signals;
-}
-
-void WaitForSignal(const sigset_t& signals) {
-  int received = 0;
-  sigwait(&signals, &received);
-}
-
 }  // namespace
 
 node_options ToNodeOptions(const base::settings& settings) {
@@ -65,7 +47,7 @@
       arguments);
   if (!line.parsed) return line.exit_code;
 
-  const sigset_t signals = BlockEndingSignals();
+  const base::end_signals signals;
   constexpr int kPoolThreads = 4;  // For operators and the platform.
   operators::SetPoolThreads(kPoolThreads);
   base::StartLog(ToLogLevel(line.parsed->Text("log-level")));
@@ -74,7 +56,7 @@
     std::cerr << "fireflyspar node: " << started.Failure().detail << '\n';
     return base::AnswerFor(started.Failure().Kind()).exit_code;
   }
-  WaitForSignal(signals);
+  signals.Wait();
   running.Finish();
   return 0;
 }
--- a/src/app/platform_jobs.cc
+++ b/src/app/platform_jobs.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "decisions/membership.h"
 #include "platform/roster.h"
 
 namespace fireflyspar::app {
@@ -16,11 +17,6 @@
 constexpr std::string_view kRelayJob = "relay";
 constexpr std::string_view kRosterJob = "roster";
 
-bool IsLiving(const decisions::member_record& member) {
-  return member.state == decisions::node_state::kAlive ||
-         member.state == decisions::node_state::kSuspect;
-}
-
 // Wraps one call so that it fails as a cut network would while the fault switch
 // is on.
 template <typename value, typename... arguments>
--- a/src/decisions/request_keepers.cc
+++ b/src/decisions/request_keepers.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "decisions/membership.h"
 #include "decisions/rendezvous.h"
 
 namespace fireflyspar::decisions {
@@ -33,8 +34,7 @@
   for (auto& [id, seen] : sightings_) seen.is_present = false;
   for (const member_record& member : members) {
     if (member.data_centre != data_centre_) continue;
-    const bool is_present = member.state == node_state::kAlive ||
-                            member.state == node_state::kSuspect;
+    const bool is_present = IsLiving(member);
     const auto found = sightings_.find(member.node_id);
     if (!is_present) {
       const bool left = member.state == node_state::kLeft;
--- a/src/decisions/server_index.cc
+++ b/src/decisions/server_index.cc
@@ -1,13 +1,13 @@
 #include "decisions/server_index.h"
 
+#include "decisions/membership.h"
+
 namespace fireflyspar::decisions {
 
 bool TakesNewWork(const member_record& member) {
-  const bool is_reachable = member.state == node_state::kAlive ||
-                            member.state == node_state::kSuspect;
   const bool is_open = member.server.state == server_state::kServing ||
                        member.server.state == server_state::kStarting;
-  return is_reachable && is_open;
+  return IsLiving(member) && is_open;
 }
 
 server_index::server_index(std::span<const member_record> members) {
