--- /dev/null
+++ b/src/app/entry_publisher.cc
@@ -0,0 +1,116 @@
+#include "app/entry_publisher.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+
+#include "proxy/entry_text.h"
+
+namespace fireflyspar::app {
+namespace {
+
+using base::error_kind;
+using base::event_weight;
+using std::chrono::milliseconds;
+
+// Between two tries at a store that does not answer; doubled each time.
+constexpr milliseconds kFirstRetry{100};
+constexpr milliseconds kLongestRetry{1000};
+constexpr int kMostDoublings = 4;
+
+// Without anything to write; woken earlier by a change.
+constexpr milliseconds kIdle{60'000};
+
+}  // namespace
+
+void entry_publisher::Set(const decisions::server_entry& wanted) {
+  wanted_ = proxy::ToJson(wanted);
+  if (IsDue()) changed_.cancel();
+}
+
+void entry_publisher::OnStored(
+    const std::optional<proxy::stored_object>& stored) {
+  stored_ = stored.value_or(proxy::stored_object{});
+  if (IsDue()) changed_.cancel();
+}
+
+bool entry_publisher::IsDue() const {
+  return wanted_ && !is_withdrawn_ && stored_.content != *wanted_;
+}
+
+net::awaitable<void> entry_publisher::Wait(base::duration span) {
+  changed_.expires_after(span);
+  boost::system::error_code ignored;
+  co_await changed_.async_wait(
+      net::redirect_error(net::use_awaitable, ignored));
+}
+
+// False when it is to be tried again.
+net::awaitable<bool> entry_publisher::Write() {
+  proxy::stored_object object{.name = options_.instance,
+                              .revision = stored_.revision,
+                              .content = *wanted_};
+  const auto written =
+      co_await options_.store->put_content(options_.kind, object);
+  const std::string result =
+      written ? "ok"
+              : std::string(base::AnswerFor(written.Failure().Kind()).name);
+  options_.log->Write(event_weight::kState, "entry_written",
+                      {{"entry", object.content.dump()}, {"result", result}});
+  if (written) {
+    stored_ = *written;
+    stored_.content = object.content;
+    co_return true;
+  }
+  const error_kind kind = written.Failure().Kind();
+  const bool must_read = kind == error_kind::kConflict ||
+                         kind == error_kind::kNotFound ||
+                         kind == error_kind::kAnswerLost;
+  if (!must_read) co_return false;
+  const auto current =
+      co_await options_.store->get(options_.kind, options_.instance);
+  if (current) {
+    stored_ = *current;
+  } else if (current.Failure().Kind() == error_kind::kNotFound) {
+    stored_ = {};
+  }
+  co_return false;
+}
+
+net::awaitable<void> entry_publisher::Run() {
+  int failures = 0;
+  for (;;) {
+    if (!IsDue()) {
+      co_await Wait(kIdle);
+      continue;
+    }
+    const bool is_written = co_await Write();
+    if (is_written) {
+      failures = 0;
+      continue;
+    }
+    const base::duration longest = std::min<base::duration>(
+        kFirstRetry * (1 << std::min(failures++, kMostDoublings)),
+        kLongestRetry);
+    const double part = base::Unit(options_.random());
+    const base::duration pause(
+        static_cast<std::int64_t>(static_cast<double>(longest.count()) * part));
+    co_await Wait(pause);
+  }
+}
+
+net::awaitable<void> entry_publisher::Withdraw() {
+  is_withdrawn_ = true;
+  if (stored_.revision == 0) co_return;
+  const auto removed = co_await options_.store->remove(
+      options_.kind, options_.instance, stored_.revision);
+  options_.log->Write(
+      event_weight::kState, "entry_withdrawn",
+      {{"result",
+        removed
+            ? "ok"
+            : std::string(base::AnswerFor(removed.Failure().Kind()).name)}});
+}
+
+}  // namespace fireflyspar::app
--- /dev/null
+++ b/src/app/proxy_process.cc
@@ -0,0 +1,536 @@
+#include "app/proxy_process.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <csignal>
+#include <iostream>
+
+#include "app/entry_publisher.h"
+#include "app/rollout_writer.h"
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "proxy/entry_text.h"
+#include "proxy/listener.h"
+#include "proxy/object_follower.h"
+#include "proxy/rollouts.h"
+#include "proxy/router.h"
+
+namespace fireflyspar::app {
+namespace {
+
+using backend_servers::http_request;
+using backend_servers::http_response;
+using base::error_kind;
+using base::event_weight;
+using std::chrono::milliseconds;
+using steady = std::chrono::steady_clock;
+namespace http = backend_servers::http;
+
+constexpr milliseconds kTick{100};
+
+// Ticks between two looks at the settings.
+constexpr int kTicksPerSettingsCheck = 10;
+
+// After SIGTERM the readiness check fails at once, and requests are served for
+// so long before the process may end; whoever routes here has noticed then.
+constexpr milliseconds kServeAfterSignal{2300};
+
+// Before the limit for ending: what has not finished by then is cut off.
+constexpr milliseconds kLastMoment{600};
+
+// Changes of configurations and of servers that come close together are read
+// with one call.
+constexpr milliseconds kGatherConfigurations{250};
+constexpr milliseconds kGatherEntries{300};
+constexpr milliseconds kGatherRollouts{100};
+
+constexpr milliseconds kDeadPeerTimeout{1500};
+
+http_response PlainAnswer(http::status status, std::string text) {
+  http_response answer(status, 11);
+  answer.set(http::field::content_type, "text/plain");
+  answer.body() = std::move(text);
+  answer.prepare_payload();
+  return answer;
+}
+
+http_response JsonAnswer(http::status status, std::string text) {
+  http_response answer = PlainAnswer(status, std::move(text));
+  answer.set(http::field::content_type, "application/json");
+  return answer;
+}
+
+}  // namespace
+
+class proxy_process {
+ public:
+  proxy_process(const platform_adapter& adapter, proxy_settings settings);
+
+  base::status Start();
+  void Run() { loop_.run(); }
+
+ private:
+  proxy::gate_options GateOptions();
+  proxy::router_options RouterOptions();
+  proxy::rollouts_options RolloutsOptions();
+  proxy::object_follower_options Following(const std::string& kind,
+                                           milliseconds gather);
+  void MakeListeners();
+  void MakeFollowers();
+
+  net::awaitable<http_response> OnGateCall(proxy::served_call& call);
+  net::awaitable<http_response> OnServerCall(proxy::served_call& call);
+  net::awaitable<http_response> OnReadiness(proxy::served_call& call);
+  net::awaitable<http_response> OnMetrics(proxy::served_call& call);
+
+  void OnServerChange(const std::optional<decisions::server_info>& server);
+  void OnConfiguration(const proxy::stored_object& object);
+  void OnRollout(const proxy::stored_object& object);
+  void OnEntries(std::span<const proxy::stored_object> objects);
+  void OnEntry(const proxy::object_change& change);
+  bool PutEntry(const proxy::stored_object& object);
+
+  net::awaitable<void> Tick();
+  net::awaitable<void> HandleSignals();
+  net::awaitable<void> ShutDown();
+  net::awaitable<void> Pause(base::duration span);
+  void Reload(std::string_view cause);
+
+  const platform_adapter& adapter_;
+  proxy_settings settings_;
+  std::string settings_stamp_;
+  net::io_context loop_{1};
+  net::any_io_executor executor_ = loop_.get_executor();
+  net::signal_set signals_{loop_, SIGTERM, SIGINT, SIGHUP};
+  base::clock_hook clock_ = base::SystemClock();
+  base::random_hook random_ = base::SystemRandom();
+  base::metrics metrics_;
+  base::event_log log_;
+  proxy::object_store store_;
+  bool is_ending_ = false;
+
+  decisions::server_directory directory_;
+  proxy::gate gate_;
+  proxy::rollouts rollouts_;
+  proxy::router router_;
+  rollout_writer rollout_writer_;
+  entry_publisher publisher_;
+  std::vector<std::unique_ptr<proxy::listener>> listeners_;
+  proxy::listener* callers_ = nullptr;
+  std::vector<std::unique_ptr<proxy::object_follower>> followers_;
+  std::string rejected_;  // The configuration that was refused last.
+};
+
+proxy_process::proxy_process(const platform_adapter& adapter,
+                             proxy_settings settings)
+    : adapter_(adapter),
+      settings_(std::move(settings)),
+      settings_stamp_(adapter_.settings_stamp()),
+      log_({.write = base::WriteToStandardOutput, .clock = clock_}),
+      store_(adapter_.connect_store(executor_, settings_.store, &metrics_)),
+      gate_(GateOptions()),
+      rollouts_(RolloutsOptions()),
+      router_(RouterOptions()),
+      rollout_writer_({.executor = executor_,
+                       .adapter = &adapter_,
+                       .store = &store_,
+                       .log = &log_,
+                       .random = random_,
+                       .clock = clock_}),
+      publisher_({.executor = executor_,
+                  .store = &store_,
+                  .log = &log_,
+                  .random = random_,
+                  .kind = adapter_.names.entry_kind,
+                  .instance = settings_.instance}) {
+  MakeListeners();
+  MakeFollowers();
+}
+
+proxy::gate_options proxy_process::GateOptions() {
+  return {
+      .executor = executor_,
+      .headers = adapter_.headers,
+      .metrics = &metrics_,
+      .log = &log_,
+      .on_change = [this](const std::optional<decisions::server_info>& server) {
+        OnServerChange(server);
+      }};
+}
+
+proxy::rollouts_options proxy_process::RolloutsOptions() {
+  return {.random = random_,
+          .log = &log_,
+          .directory = &directory_,
+          .write_state = [this](const decisions::trial_order& order) {
+            rollout_writer_.Write(order);
+          }};
+}
+
+proxy::router_options proxy_process::RouterOptions() {
+  return {.executor = executor_,
+          .instance = settings_.instance,
+          .data_centre = settings_.data_centre,
+          .headers = adapter_.headers,
+          .metrics = &metrics_,
+          .log = &log_,
+          .random = random_,
+          .local_gate = &gate_,
+          .directory = &directory_,
+          .trials = &rollouts_,
+          .budget = settings_.repeats,
+          .own_service = [this] { return settings_.service; }};
+}
+
+void proxy_process::MakeListeners() {
+  const auto add = [this](proxy::listener_options options) {
+    listeners_.push_back(
+        std::make_unique<proxy::listener>(executor_, std::move(options)));
+  };
+  add({.address = settings_.callers,
+       .handler =
+           [this](proxy::served_call& call) { return router_.Route(call); },
+       .limits =
+           [this] {
+             const auto* known = router_.Configuration();
+             return known != nullptr ? known->limits : config::request_limits{};
+           }});
+  callers_ = listeners_.back().get();
+  add({.address = settings_.gate,
+       .handler = [this](proxy::served_call& call) { return OnGateCall(call); },
+       .dead_peer_timeout = kDeadPeerTimeout,
+       .holds_bodies = true});
+  add({.address = settings_.reports,
+       .handler = [this](proxy::served_call& call) {
+         return OnServerCall(call);
+       }});
+  add({.address = settings_.readiness,
+       .handler = [this](proxy::served_call& call) {
+         return OnReadiness(call);
+       }});
+  add({.address = settings_.metrics,
+       .handler = [this](proxy::served_call& call) {
+         return OnMetrics(call);
+       }});
+}
+
+proxy::object_follower_options proxy_process::Following(const std::string& kind,
+                                                        milliseconds gather) {
+  return {.executor = executor_,
+          .kind = kind,
+          .store = &store_,
+          .log = &log_,
+          .random = random_,
+          .gather = gather};
+}
+
+void proxy_process::MakeFollowers() {
+  const store_names& names = adapter_.names;
+  auto configurations =
+      Following(names.configuration_kind, kGatherConfigurations);
+  configurations.on_list = [this](std::span<const proxy::stored_object> all) {
+    std::ranges::for_each(all, [this](const proxy::stored_object& each) {
+      OnConfiguration(each);
+    });
+  };
+  configurations.on_change = [this](const proxy::object_change& change) {
+    if (!change.is_removal) OnConfiguration(change.object);
+  };
+  auto rollouts = Following(names.rollout_kind, kGatherRollouts);
+  rollouts.on_list = [this](std::span<const proxy::stored_object> all) {
+    std::ranges::for_each(
+        all, [this](const proxy::stored_object& each) { OnRollout(each); });
+  };
+  rollouts.on_change = [this](const proxy::object_change& change) {
+    if (!change.is_removal) OnRollout(change.object);
+  };
+  auto entries = Following(names.entry_kind, kGatherEntries);
+  entries.on_list = [this](std::span<const proxy::stored_object> all) {
+    OnEntries(all);
+  };
+  entries.on_change = [this](const proxy::object_change& change) {
+    OnEntry(change);
+  };
+  for (auto* each : {&configurations, &entries, &rollouts}) {
+    followers_.push_back(
+        std::make_unique<proxy::object_follower>(std::move(*each)));
+  }
+}
+
+base::status proxy_process::Start() {
+  for (const auto& each : listeners_) {
+    if (const auto started = each->Start(); !started) return started;
+  }
+  for (const auto& each : followers_) {
+    net::co_spawn(executor_, each->Run(), net::detached);
+  }
+  net::co_spawn(executor_, publisher_.Run(), net::detached);
+  net::co_spawn(executor_, Tick(), net::detached);
+  net::co_spawn(executor_, HandleSignals(), net::detached);
+  log_.Write(event_weight::kState, "started",
+             {{"instance", settings_.instance},
+              {"data_centre", settings_.data_centre},
+              {"service", settings_.service},
+              {"callers", settings_.callers.ToText()},
+              {"gate", settings_.gate.ToText()},
+              {"store", settings_.store.ToText()}});
+  return base::nothing{};
+}
+
+net::awaitable<http_response> proxy_process::OnGateCall(
+    proxy::served_call& call) {
+  const auto offer = proxy::ParseOffer(
+      backend_servers::HeaderOf(call.request, proxy::kOfferHeader));
+  if (!offer) {
+    co_return proxy::ToMessage(proxy::NotRun(error_kind::kMalformedMessage,
+                                             "the offer can't be read"));
+  }
+  // The body, where it is held back, brings the whole request anew.
+  std::function<net::awaitable<bool>()> read_body;
+  const auto clean = [&call] {
+    call.request.erase(proxy::kOfferHeader);
+    call.request.erase(http::field::expect);
+  };
+  clean();
+  if (call.read_body) {
+    read_body = [&call, &clean]() -> net::awaitable<bool> {
+      const bool is_whole = co_await call.read_body();
+      clean();
+      co_return is_whole;
+    };
+  }
+  proxy::gate_outcome outcome =
+      co_await gate_.Run(*offer, call.request, read_body, *call.cancel);
+  http_response message = proxy::ToMessage(std::move(outcome));
+  co_return message;
+}
+
+net::awaitable<http_response> proxy_process::OnServerCall(
+    proxy::served_call& call) {
+  const auto decoded = adapter_.decode_server_call(call.request);
+  if (!decoded) {
+    const bool is_unknown = decoded.Failure().Kind() == error_kind::kNotFound;
+    log_.Write(event_weight::kFailure, "server_report_refused",
+               {{"detail", decoded.Failure().detail}});
+    co_return JsonAnswer(
+        is_unknown ? http::status::not_found : http::status::bad_request, "{}");
+  }
+  if (decoded->report) {
+    const bool is_new = gate_.OnReport(*decoded->report);
+    if (!is_new) {
+      log_.Write(event_weight::kState, "server_report_outdated",
+                 {{"server", decoded->server_id},
+                  {"sequence", std::to_string(decoded->report->sequence)}});
+    }
+  } else {
+    gate_.OnLeave(decoded->server_id);
+  }
+  co_return JsonAnswer(http::status::ok, "{}");
+}
+
+net::awaitable<http_response> proxy_process::OnReadiness(
+    proxy::served_call& call) {
+  const std::string_view target =
+      backend_servers::ToView(call.request.target());
+  if (target.substr(0, target.find('?')) != adapter_.readiness_path) {
+    co_return PlainAnswer(http::status::not_found, "not found\n");
+  }
+  const bool is_ready = !is_ending_ && router_.Configuration() != nullptr;
+  co_return is_ready
+      ? PlainAnswer(http::status::ok, "ready\n")
+      : PlainAnswer(http::status::service_unavailable, "not ready\n");
+}
+
+net::awaitable<http_response> proxy_process::OnMetrics(proxy::served_call&) {
+  metrics_.Gauge("fireflyspar_log_lines_dropped")
+      .store(static_cast<std::int64_t>(log_.Dropped()));
+  metrics_.Gauge("fireflyspar_known_servers")
+      .store(static_cast<std::int64_t>(directory_.Entries().size()));
+  const auto* known = router_.Configuration();
+  metrics_.Gauge("fireflyspar_configuration_version")
+      .store(known == nullptr ? 0 : static_cast<std::int64_t>(known->version));
+  co_return PlainAnswer(http::status::ok, metrics_.ToPrometheusText());
+}
+
+void proxy_process::OnServerChange(
+    const std::optional<decisions::server_info>& server) {
+  if (!server) return;
+  publisher_.Set({.instance = settings_.instance,
+                  .data_centre = settings_.data_centre,
+                  .gate = settings_.gate,
+                  .server = *server});
+}
+
+void proxy_process::OnConfiguration(const proxy::stored_object& object) {
+  if (object.name != adapter_.names.configuration_name) return;
+  auto decoded = adapter_.decode_configuration(object.content);
+  const auto* known = router_.Configuration();
+  if (!decoded) {
+    if (rejected_ == decoded.Failure().detail) return;
+    rejected_ = decoded.Failure().detail;
+    log_.Write(
+        event_weight::kState, "configuration_rejected",
+        {{"revision", std::to_string(object.revision)}, {"detail", rejected_}});
+    return;
+  }
+  const bool is_newer = known == nullptr || decoded->version > known->version;
+  log_.Write(event_weight::kState,
+             is_newer ? "configuration_in_force" : "configuration_outdated",
+             {{"version", std::to_string(decoded->version)},
+              {"revision", std::to_string(object.revision)},
+              {"routes", std::to_string(decoded->routes.size())}});
+  if (!is_newer) return;
+  router_.SetConfiguration(
+      std::make_shared<const config::mesh_configuration>(std::move(*decoded)));
+}
+
+void proxy_process::OnRollout(const proxy::stored_object& object) {
+  const auto decoded = adapter_.decode_rollout(object);
+  if (!decoded) {
+    log_.Write(event_weight::kState, "rollout_rejected",
+               {{"name", object.name}, {"detail", decoded.Failure().detail}});
+    return;
+  }
+  rollout_writer_.OnObject(object);
+  base::duration age{};
+  if (decoded->began_ms != 0) {
+    const milliseconds began(decoded->began_ms);
+    const auto since = clock_().time_since_epoch() - began;
+    age = std::clamp<base::duration>(since, base::duration(0),
+                                     decoded->order.period);
+  }
+  rollouts_.OnOrder(decoded->order, decoded->has_state, age);
+}
+
+bool proxy_process::PutEntry(const proxy::stored_object& object) {
+  if (object.name == settings_.instance) publisher_.OnStored(object);
+  const auto entry = proxy::ParseEntry(object.name, object.content);
+  if (entry) return directory_.Put(*entry);
+  log_.Write(event_weight::kState, "entry_rejected", {{"name", object.name}});
+  return directory_.Remove(object.name);
+}
+
+void proxy_process::OnEntries(std::span<const proxy::stored_object> objects) {
+  std::vector<std::string> names(objects.size());
+  std::ranges::transform(objects, names.begin(), &proxy::stored_object::name);
+  directory_.KeepOnly(names);
+  if (std::ranges::find(names, settings_.instance) == names.end()) {
+    publisher_.OnStored(std::nullopt);
+  }
+  for (const proxy::stored_object& each : objects) PutEntry(each);
+  router_.OnDirectoryChange();
+}
+
+void proxy_process::OnEntry(const proxy::object_change& change) {
+  bool has_changed = false;
+  if (change.is_removal) {
+    if (change.object.name == settings_.instance) {
+      publisher_.OnStored(std::nullopt);
+    }
+    has_changed = directory_.Remove(change.object.name);
+  } else {
+    has_changed = PutEntry(change.object);
+  }
+  if (has_changed) router_.OnDirectoryChange();
+}
+
+net::awaitable<void> proxy_process::Pause(base::duration span) {
+  net::steady_timer timer(executor_, span);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+}
+
+net::awaitable<void> proxy_process::Tick() {
+  for (int ticks = 0;; ++ticks) {
+    co_await Pause(kTick);
+    gate_.Tick();
+    rollouts_.Tick();
+    log_.Flush();
+    if (ticks % kTicksPerSettingsCheck == 0 &&
+        adapter_.settings_stamp() != settings_stamp_) {
+      Reload("the settings changed");
+    }
+  }
+}
+
+void proxy_process::Reload(std::string_view cause) {
+  settings_stamp_ = adapter_.settings_stamp();
+  const auto read = adapter_.read_settings();
+  if (!read) {
+    log_.Write(
+        event_weight::kState, "reload_refused",
+        {{"cause", std::string(cause)}, {"detail", read.Failure().detail}});
+    return;
+  }
+  // What else has changed takes effect at the next start.
+  settings_.service = read->service;
+  log_.Write(event_weight::kState, "reloaded",
+             {{"cause", std::string(cause)},
+              {"service", settings_.service},
+              {"needs_restart", *read == settings_ ? "0" : "1"}});
+}
+
+net::awaitable<void> proxy_process::HandleSignals() {
+  for (;;) {
+    boost::system::error_code error;
+    const int signal = co_await signals_.async_wait(
+        net::redirect_error(net::use_awaitable, error));
+    if (error) co_return;
+    if (signal == SIGHUP) {
+      Reload("SIGHUP");
+      continue;
+    }
+    if (is_ending_) continue;
+    is_ending_ = true;
+    net::co_spawn(executor_, ShutDown(), net::detached);
+  }
+}
+
+net::awaitable<void> proxy_process::ShutDown() {
+  const auto begun = steady::now();
+  const auto limit = begun + settings_.shutdown_limit - kLastMoment;
+  log_.Write(event_weight::kState, "stopping", {});
+  callers_->StopKeeping();
+  const auto& server = gate_.Server();
+  const bool is_for_good =
+      !server || server->condition == decisions::server_condition::kDraining;
+  if (is_for_good) co_await publisher_.Withdraw();
+  const auto left = std::chrono::duration_cast<base::duration>(
+      begun + kServeAfterSignal - steady::now());
+  co_await Pause(left);
+  gate_.Close();
+  constexpr milliseconds kPoll{20};
+  const auto is_busy = [this] {
+    return callers_->Active() > 0 || gate_.Running() > 0;
+  };
+  while (is_busy() && steady::now() < limit) co_await Pause(kPoll);
+  log_.Write(event_weight::kState, "stopped",
+             {{"cut_off", std::to_string(callers_->Active())}});
+  for (const auto& each : listeners_) each->Close();
+  log_.Flush();
+  loop_.stop();
+}
+
+int RunProxyProcess(const platform_adapter& adapter) {
+  const auto settings = adapter.read_settings();
+  if (!settings) {
+    std::cerr << "fireflyspar: " << settings.Failure().detail << '\n';
+    return base::AnswerFor(settings.Failure().Kind()).exit_code;
+  }
+  proxy_process process(adapter, *settings);
+  if (const auto started = process.Start(); !started) {
+    std::cerr << "fireflyspar: " << started.Failure().detail << '\n';
+    return base::AnswerFor(started.Failure().Kind()).exit_code;
+  }
+  process.Run();
+  return 0;
+}
+
+}  // namespace fireflyspar::app
--- /dev/null
+++ b/src/app/rollout_writer.cc
@@ -0,0 +1,95 @@
+#include "app/rollout_writer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+
+namespace fireflyspar::app {
+namespace {
+
+using base::event_weight;
+using decisions::trial_order;
+using decisions::trial_state;
+using std::chrono::milliseconds;
+
+// Longest random wait before a write.
+constexpr milliseconds kRunningWait{400};
+constexpr milliseconds kOutcomeWait{250};
+
+// Longest random wait before a write that failed is made again.
+constexpr milliseconds kRetryWait{500};
+
+constexpr int kMostTries = 40;
+
+}  // namespace
+
+void rollout_writer::OnObject(const proxy::stored_object& object) {
+  objects_[object.name] = object;
+}
+
+void rollout_writer::Write(const trial_order& order) {
+  if (!under_way_.emplace(order.service, order.state).second) return;
+  net::co_spawn(options_.executor, WriteSoon(order), net::detached);
+}
+
+net::awaitable<void> rollout_writer::Pause(base::duration longest) {
+  const double part = base::Unit(options_.random());
+  net::steady_timer timer(options_.executor,
+                          base::duration(static_cast<std::int64_t>(
+                              static_cast<double>(longest.count()) * part)));
+  boost::system::error_code ignored;
+  co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+}
+
+bool rollout_writer::IsSettled(const trial_order& order) const {
+  const auto known = objects_.find(order.service);
+  if (known == objects_.end()) return true;  // The order is gone.
+  const auto stored = options_.adapter->decode_rollout(known->second);
+  if (!stored || stored->order.id != order.id) return true;
+  if (!stored->has_state) return false;
+  return stored->order.state != trial_state::kRunning ||
+         order.state == trial_state::kRunning;
+}
+
+std::int64_t rollout_writer::NowMs() const {
+  return std::chrono::duration_cast<milliseconds>(
+             options_.clock().time_since_epoch())
+      .count();
+}
+
+net::awaitable<void> rollout_writer::WriteSoon(trial_order order) {
+  const bool is_outcome = order.state != trial_state::kRunning;
+  co_await Pause(is_outcome ? kOutcomeWait : kRunningWait);
+  for (int tries = 0; tries < kMostTries && !IsSettled(order); ++tries) {
+    proxy::stored_object object = objects_[order.service];
+    const auto stored = options_.adapter->decode_rollout(object);
+    const std::int64_t began =
+        stored && stored->began_ms != 0 ? stored->began_ms : NowMs();
+    object.status = options_.adapter->encode_rollout_state(order, began);
+    const auto written = co_await options_.store->put_status(
+        options_.adapter->names.rollout_kind, object);
+    options_.log->Write(
+        event_weight::kState, "rollout_state_written",
+        {{"service", order.service},
+         {"state", object.status.dump()},
+         {"result",
+          written
+              ? "ok"
+              : std::string(base::AnswerFor(written.Failure().Kind()).name)}});
+    if (written) {
+      OnObject(*written);
+      break;
+    }
+    co_await Pause(kRetryWait);
+    // Another proxy may have written, or the answer may have been lost.
+    const auto current = co_await options_.store->get(
+        options_.adapter->names.rollout_kind, order.service);
+    if (current) OnObject(*current);
+  }
+  under_way_.erase({order.service, order.state});
+}
+
+}  // namespace fireflyspar::app
--- a/src/backend_servers/connection_pool.cc
+++ b/src/backend_servers/connection_pool.cc
@@ -2,13 +2,12 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace fireflyspar::backend_servers {
 namespace {
 
-// Shorter than servers keep an idle connection, so that few are found closed.
-constexpr std::chrono::seconds kMaxIdle{4};
 constexpr std::size_t kMaxIdlePerAddress = 32;
 
 // True when nothing has come on the idle connection. Both an end and unasked
@@ -23,31 +22,34 @@
 
 }  // namespace
 
-std::unique_ptr<connection> connection_pool::Take(const base::address& to) {
+std::unique_ptr<connection> connection_pool::Take(
+    const base::address& to, std::chrono::milliseconds max_idle) {
   const auto found = idle_.find(to);
   if (found == idle_.end()) return nullptr;
   const auto now = std::chrono::steady_clock::now();
   std::vector<idle_connection>& held = found->second;
   while (!held.empty()) {
+    // The latest is on top; those below it have been idle for longer.
+    if (now - held.back().since > max_idle) return nullptr;
     idle_connection last = std::move(held.back());
     held.pop_back();
-    if (now - last.since > kMaxIdle) {
-      // Those below it have been idle for longer still.
-      held.clear();
-    } else if (IsQuiet(*last.held)) {
-      return std::move(last.held);
-    }
+    const bool is_young = now - last.since <= last.max_idle;
+    if (is_young && IsQuiet(*last.held)) return std::move(last.held);
   }
   idle_.erase(found);
   return nullptr;
 }
 
 void connection_pool::Give(const base::address& to,
-                           std::unique_ptr<connection> idle) {
+                           std::unique_ptr<connection> idle,
+                           std::chrono::milliseconds max_idle) {
   std::vector<idle_connection>& held = idle_[to];
+  const auto now = std::chrono::steady_clock::now();
+  std::erase_if(held, [now](const idle_connection& each) {
+    return now - each.since > each.max_idle;
+  });
   if (held.size() >= kMaxIdlePerAddress) return;
-  held.push_back(
-      {.held = std::move(idle), .since = std::chrono::steady_clock::now()});
+  held.push_back({.held = std::move(idle), .since = now, .max_idle = max_idle});
 }
 
 }  // namespace fireflyspar::backend_servers
--- a/src/backend_servers/connection_pool.h
+++ b/src/backend_servers/connection_pool.h
@@ -15,13 +15,22 @@
 
 class connection_pool {
  public:
+  // Shorter than servers keep an idle connection, so that few are found closed.
+  static constexpr std::chrono::milliseconds kMaxIdle{4000};
+
   explicit connection_pool(net::any_io_executor executor)
       : executor_(std::move(executor)) {}
 
-  // An idle connection that its peer has not closed, or null.
-  std::unique_ptr<connection> Take(const base::address& to);
+  // A connection that has been idle for at most `max_idle` and that its peer
+  // has not closed, or null.
+  std::unique_ptr<connection> Take(
+      const base::address& to, std::chrono::milliseconds max_idle = kMaxIdle);
+
+  void Give(const base::address& to, std::unique_ptr<connection> idle,
+            std::chrono::milliseconds max_idle = kMaxIdle);
 
-  void Give(const base::address& to, std::unique_ptr<connection> idle);
+  // Closes the idle connections to that address.
+  void Drop(const base::address& to) { idle_.erase(to); }
 
   const net::any_io_executor& Executor() const { return executor_; }
 
@@ -29,6 +38,7 @@
   struct idle_connection {
     std::unique_ptr<connection> held;
     std::chrono::steady_clock::time_point since;
+    std::chrono::milliseconds max_idle;
   };
 
   net::any_io_executor executor_;
--- a/src/backend_servers/exchange.cc
+++ b/src/backend_servers/exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <charconv>
 #include <memory>
 #include <optional>
 
@@ -14,7 +15,8 @@
 using boost::system::error_code;
 using steady = std::chrono::steady_clock;
 
-constexpr std::chrono::milliseconds kConnectTimeout{1000};
+// Answers to earlier requests that are passed over on one connection.
+constexpr int kMostForeignAnswers = 4;
 
 // Sets the cancellation's hook for as long as it lives.
 class cancel_scope {
@@ -45,23 +47,34 @@
                                    const exchange_options& options) {
   error_code error;
   fresh.stream.expires_at(
-      std::min(options.deadline, steady::now() + kConnectTimeout));
+      std::min(options.deadline, steady::now() + options.connect_timeout));
   const tcp::endpoint endpoint = ToEndpoint(options.to);
   auto token = net::redirect_error(net::use_awaitable, error);
   co_await fresh.stream.async_connect(endpoint, token);
   if (!error) {
     error_code ignored;
     ignored = fresh.stream.socket().set_option(tcp::no_delay(true), ignored);
+    if (options.dead_peer_timeout.count() > 0) {
+      WatchPeer(fresh.stream.socket(), options.dead_peer_timeout);
+    }
   }
   co_return error;
 }
 
-// Reads one answer, passing over those that are only provisional (1xx).
+using answer_parser = http::response_parser<http::string_body>;
+
+bool IsProvisional(const answer_parser& parser) {
+  return parser.get().result_int() / 100 == 1;
+}
+
+// Reads one whole answer, passing over those that are only provisional (1xx).
+// `stays_open`: false when the answer ended with the connection.
 net::awaitable<error_code> ReadAnswer(connection& used, bool to_head,
+                                      bool takes_unframed, bool& stays_open,
                                       http_response& answer) {
   error_code error;
   auto token = net::redirect_error(net::use_awaitable, error);
-  std::optional<http::response_parser<http::string_body>> parser;
+  std::optional<answer_parser> parser;
   do {
     parser.emplace();
     parser->header_limit(kMaxHeaderBytes);
@@ -69,12 +82,13 @@
     parser->skip(to_head);
     co_await http::async_read(used.stream, used.buffer, *parser, token);
     if (error) co_return error;
-  } while (parser->get().result_int() / 100 == 1);
-  // An answer that ends where its connection ends can't be told from a cut one.
-  if (!to_head && parser->need_eof()) co_return http::error::partial_message;
+  } while (IsProvisional(*parser));
+  const bool is_unframed = !to_head && parser->need_eof();
+  if (is_unframed && !takes_unframed) co_return http::error::partial_message;
+  stays_open = !is_unframed && parser->keep_alive();
   answer = parser->release();
-  if (answer.chunked()) {
-    // The chunks have been put together; from here on the length is known.
+  if (is_unframed || answer.chunked()) {
+    // The body is whole; from here on its length is known.
     answer.erase(http::field::transfer_encoding);
     answer.erase(http::field::trailer);
     if (!to_head) answer.content_length(answer.body().size());
@@ -82,6 +96,82 @@
   co_return error;
 }
 
+bool EchoesOther(const http_response& answer, const http_request& request,
+                 const std::string& header) {
+  if (header.empty()) return false;
+  const std::string_view echoed = HeaderOf(answer, header);
+  return !echoed.empty() && echoed != HeaderOf(request, header);
+}
+
+// Reads the answer to `request`. Where answers to earlier requests came first,
+// the connection is not to be kept.
+net::awaitable<error_code> ReadOwnAnswer(connection& used,
+                                         const exchange_options& options,
+                                         const http_request& request,
+                                         bool& stays_open,
+                                         http_response& answer) {
+  const bool to_head = request.method() == http::verb::head;
+  bool is_clean = true;
+  for (int foreign = 0; foreign < kMostForeignAnswers; ++foreign) {
+    const error_code error = co_await ReadAnswer(
+        used, to_head, options.takes_unframed, stays_open, answer);
+    if (error) co_return error;
+    if (!EchoesOther(answer, request, options.echoed_header)) {
+      stays_open = stays_open && is_clean;
+      co_return error;
+    }
+    is_clean = false;
+    if (!stays_open) break;
+  }
+  co_return http::error::bad_value;
+}
+
+// Sends the head and waits for the word to go on. `ended`: the peer gave its
+// final answer instead, which is in `answer`.
+net::awaitable<error_code> AskToContinue(connection& used,
+                                         const exchange_options& options,
+                                         http_request& request, bool& ended,
+                                         http_response& answer) {
+  error_code error;
+  auto token = net::redirect_error(net::use_awaitable, error);
+  request.set(http::field::expect, "100-continue");
+  http::request_serializer<http::string_body> serializer(request);
+  if (options.continue_timeout.count() > 0) {
+    used.stream.expires_at(
+        std::min(options.deadline, steady::now() + options.continue_timeout));
+  }
+  co_await http::async_write_header(used.stream, serializer, token);
+  if (error) co_return error;
+  answer_parser parser;
+  parser.header_limit(kMaxHeaderBytes);
+  parser.body_limit(kMaxResponseBytes);
+  co_await http::async_read_header(used.stream, used.buffer, parser, token);
+  if (error) co_return error;
+  if (IsProvisional(parser)) {
+    used.stream.expires_at(options.deadline);
+    co_return error;
+  }
+  co_await http::async_read(used.stream, used.buffer, parser, token);
+  ended = true;
+  answer = parser.release();
+  co_return error;
+}
+
+// How long the peer keeps the connection when idle, less a margin for the way.
+std::chrono::milliseconds IdleLimit(const http_response& answer) {
+  const std::string_view text = HeaderOf(answer, "Keep-Alive");
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = text.find(kName);
+  if (at == std::string_view::npos) return connection_pool::kMaxIdle;
+  int seconds = 0;
+  const std::string_view number = text.substr(at + kName.size());
+  std::from_chars(number.data(), number.data() + number.size(), seconds);
+  constexpr int kUsedPercent = 60;
+  return std::min<std::chrono::milliseconds>(
+      connection_pool::kMaxIdle,
+      std::chrono::seconds(seconds) * kUsedPercent / 100);
+}
+
 }  // namespace
 
 net::awaitable<exchange_result> Exchange(connection_pool& pool,
@@ -93,7 +183,7 @@
     result.end = exchange_end::kCancelled;
     co_return result;
   }
-  std::unique_ptr<connection> used = pool.Take(options.to);
+  std::unique_ptr<connection> used = pool.Take(options.to, options.max_idle);
   const bool is_fresh = used == nullptr;
   if (is_fresh) used = std::make_unique<connection>(pool.Executor());
   const cancel_scope scope(cancel, *used);
@@ -112,18 +202,36 @@
   }
   used->stream.expires_at(options.deadline);
   auto token = net::redirect_error(net::use_awaitable, error);
-  const std::size_t written =
-      co_await http::async_write(used->stream, request, token);
-  if (error) {
-    // With no byte taken by the system none can have left this machine. A write
-    // that was broken off from here may have taken some.
-    const bool broken_off =
-        cancel.IsCancelled() || error == beast::error::timeout;
-    result = Failed(cancel, error, written > 0 || broken_off);
-    co_return result;
+  bool stays_open = true;
+  bool ended = false;
+  if (options.body_after_continue) {
+    error =
+        co_await AskToContinue(*used, options, request, ended, result.answer);
+    if (error) {
+      result = Failed(cancel, error, false);
+      co_return result;
+    }
+    stays_open = !ended || result.answer.keep_alive();
+  }
+  if (!ended) {
+    std::size_t written = 0;
+    if (options.body_after_continue) {
+      written = co_await net::async_write(used->stream,
+                                          net::buffer(request.body()), token);
+    } else {
+      written = co_await http::async_write(used->stream, request, token);
+    }
+    if (error) {
+      // With no byte taken by the system none can have left this machine. A
+      // write that was broken off from here may have taken some.
+      const bool broken_off =
+          cancel.IsCancelled() || error == beast::error::timeout;
+      result = Failed(cancel, error, written > 0 || broken_off);
+      co_return result;
+    }
+    error = co_await ReadOwnAnswer(*used, options, request, stays_open,
+                                   result.answer);
   }
-  const bool to_head = request.method() == http::verb::head;
-  error = co_await ReadAnswer(*used, to_head, result.answer);
   if (error) {
     result = Failed(cancel, error, true);
     co_return result;
@@ -137,7 +245,9 @@
   result.end = exchange_end::kAnswered;
   result.sent = true;
   used->stream.expires_never();
-  if (result.answer.keep_alive()) pool.Give(options.to, std::move(used));
+  if (stays_open && used->buffer.size() == 0) {
+    pool.Give(options.to, std::move(used), IdleLimit(result.answer));
+  }
   co_return result;
 }
 
--- a/src/backend_servers/http.cc
+++ b/src/backend_servers/http.cc
@@ -1,5 +1,9 @@
 #include "backend_servers/http.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -61,6 +65,20 @@
   }
 }
 
+void WatchPeer(tcp::socket& socket, std::chrono::milliseconds timeout) {
+  const int handle = socket.native_handle();
+  const int user_timeout = static_cast<int>(timeout.count());
+  const int on = 1;
+  const int seconds = 1;  // Until the first probe, and between probes.
+  const int probes = 2;
+  ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
+               sizeof(user_timeout));
+  ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
 tcp::endpoint ToEndpoint(const base::address& address) {
   boost::system::error_code ignored;
   return {net::ip::make_address(address.ip, ignored), address.port};
--- a/src/backend_servers/http.h
+++ b/src/backend_servers/http.h
@@ -84,6 +84,10 @@
 // Drops the headers whose names start with `prefix`, in lower case.
 void DropHeadersWithPrefix(http::fields& headers, std::string_view prefix);
 
+// Makes the system notice a peer that is gone, cut off or silent: within the
+// timeout while bytes are on their way, within seconds while nothing is sent.
+void WatchPeer(tcp::socket& socket, std::chrono::milliseconds timeout);
+
 tcp::endpoint ToEndpoint(const base::address& address);
 
 base::address ToAddress(const tcp::endpoint& endpoint);
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -43,6 +43,7 @@
            kNotApplicable, 6},
     answer{kPlatformOverRate, "platform_over_rate", 429, seconds{1},
            kNotApplicable, 6},
+    answer{kHistoryGone, "history_gone", 410, seconds{0}, kNotApplicable, 6},
     answer{kAnswerLost, "answer_lost", 503, seconds{1}, kNotApplicable, 7},
     answer{kPeerUnavailable, "peer_unavailable", 503, seconds{1},
            kNotApplicable, 6},
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -36,6 +36,7 @@
   kMalformedMessage,     // A message between processes does not decode.
   kPlatformUnavailable,  // The platform refused, hung or is cut off.
   kPlatformOverRate,     // The platform's rate limit was hit.
+  kHistoryGone,          // The changes asked for are not kept any more.
   kAnswerLost,           // A write's answer was lost; it may have taken effect.
   kPeerUnavailable,      // Another node could not be reached.
   kTimedOut,             // What was waited for did not come in time.
--- a/src/base/hooks.h
+++ b/src/base/hooks.h
@@ -15,6 +15,10 @@
 using instant = std::chrono::sys_time<std::chrono::microseconds>;
 using duration = std::chrono::microseconds;
 
+// A point on this process's own steady clock; for waits and deadlines, which a
+// jump of the time of day must not touch.
+using steady_instant = std::chrono::steady_clock::time_point;
+
 using clock_hook = std::function<instant()>;
 
 // Uniform over all 64-bit values.
--- /dev/null
+++ b/src/decisions/gate_choice.cc
@@ -0,0 +1,119 @@
+#include "decisions/gate_choice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fireflyspar::decisions {
+namespace {
+
+// Doubling stops here; the longest avoidance caps it anyway.
+constexpr int kMostDoublings = 8;
+
+// Extra time of a server whose slots are all taken, as a part of its time.
+constexpr double kFullServerCost = 0.3;
+
+// Cost of a gate that is passed over; orders those by their other costs.
+constexpr double kPassedOverCost = 1e9;
+constexpr double kUnreachableCost = 1e12;
+
+double Microseconds(base::duration span) {
+  return static_cast<double>(span.count());
+}
+
+}  // namespace
+
+gate_choice::estimate gate_choice::Estimate(const gate_candidate& candidate,
+                                            const gate_state* known,
+                                            base::duration typical,
+                                            base::steady_instant now) const {
+  const double base_time = std::max(1.0, Microseconds(typical));
+  const double far = candidate.is_near ? 0 : options_.distance_cost * base_time;
+  if (known == nullptr) return {.cost = base_time + far};
+  const gate_report& report = known->report;
+  const double slots = std::max(1, candidate.slots);
+  const double time = base_time * report.pace;
+  // What ran at the report ends exponentially with the time at the server.
+  const double age = Microseconds(
+      std::chrono::duration_cast<base::duration>(now - known->reported));
+  const double left = std::exp(-age / time);
+  const double queued = report.waiting * left;
+  const double busy = std::max<double>(
+      report.running * left + queued + known->sent_since, known->in_flight);
+  const double over = std::max(0.0, busy + 1 - slots);
+  const double used = std::min(1.0, busy / slots);
+  double cost = over * time / slots;
+  cost += time * (1 + kFullServerCost * used * used);
+  cost += far;
+  cost += options_.failure_cost * base_time * report.failing_share;
+  if (now < known->closed_until) cost += kPassedOverCost;
+  if (now < known->avoid_until) cost += kUnreachableCost;
+  return {.cost = cost, .is_free = over < 1};
+}
+
+std::optional<chosen_gate> gate_choice::Choose(
+    std::span<const gate_candidate> candidates, base::duration typical,
+    const base::random_hook& random, base::steady_instant now) const {
+  std::optional<chosen_gate> best;
+  double least = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const auto found = gates_.find(candidates[i].instance);
+    const gate_state* known = found == gates_.end() ? nullptr : &found->second;
+    const estimate made = Estimate(candidates[i], known, typical, now);
+    const double cost = made.cost * (1 + options_.blur * base::Unit(random()));
+    if (best && cost >= least) continue;
+    least = cost;
+    best = {.index = i,
+            .is_expected_free = made.is_free,
+            .is_unreachable = known != nullptr && now < known->avoid_until};
+  }
+  return best;
+}
+
+void gate_choice::OnSend(std::string_view instance) {
+  gate_state& gate = gates_[std::string(instance)];
+  ++gate.sent_since;
+  ++gate.in_flight;
+}
+
+void gate_choice::OnEnd(std::string_view instance) {
+  gate_state& gate = gates_[std::string(instance)];
+  gate.in_flight = std::max(0, gate.in_flight - 1);
+}
+
+void gate_choice::OnReport(std::string_view instance, const gate_report& report,
+                           base::steady_instant now) {
+  gate_state& gate = gates_[std::string(instance)];
+  gate.report = report;
+  gate.reported = now;
+  gate.sent_since = 0;
+  OnReachable(instance);
+}
+
+void gate_choice::OnClosed(std::string_view instance, base::duration avoid,
+                           base::steady_instant now) {
+  gates_[std::string(instance)].closed_until = now + avoid;
+}
+
+void gate_choice::OnUnreachable(std::string_view instance,
+                                base::steady_instant now) {
+  gate_state& gate = gates_[std::string(instance)];
+  if (now < gate.avoid_until) return;
+  const base::duration wanted =
+      options_.first_avoidance *
+      (1 << std::min(gate.unreachable_in_row, kMostDoublings));
+  gate.avoid_until = now + std::min(wanted, options_.longest_avoidance);
+  ++gate.unreachable_in_row;
+}
+
+void gate_choice::OnReachable(std::string_view instance) {
+  gate_state& gate = gates_[std::string(instance)];
+  gate.unreachable_in_row = 0;
+  gate.avoid_until = {};
+}
+
+void gate_choice::Forget(std::string_view instance) {
+  const auto found = gates_.find(instance);
+  if (found != gates_.end()) gates_.erase(found);
+}
+
+}  // namespace fireflyspar::decisions
--- /dev/null
+++ b/src/decisions/gate_choice.h
@@ -0,0 +1,107 @@
+// Which gate gets a request next. The expected time to the answer is estimated
+// for each from what the gate last reported of its load, what was sent to it
+// since, and how fast and how reliable its server has been; the least wins.
+// Other data centres cost some extra, since their bytes and their latency do.
+// Estimates are a little blurred, so that proxies with the same stale report
+// don't all choose the same gate; a gate that turns out to be full says so at
+// once and the next one is tried.
+#ifndef FIREFLYSPAR_DECISIONS_GATE_CHOICE_H_
+#define FIREFLYSPAR_DECISIONS_GATE_CHOICE_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "base/hooks.h"
+
+namespace fireflyspar::decisions {
+
+// What a gate tells of itself with each answer.
+struct gate_report {
+  int running = 0;
+  int waiting = 0;
+  int slots = 1;
+  double pace = 1;           // Time at its server, relative to the typical.
+  double failing_share = 0;  // Of its latest answers, in [0, 1].
+};
+
+struct gate_choice_options {
+  // Extra cost of another data centre, as a part of the typical time.
+  double distance_cost = 0.5;
+  // Extra cost of a server all of whose answers fail, in typical times.
+  double failure_cost = 8;
+  // Random part of each estimate.
+  double blur = 0.1;
+  // How long a gate is passed over after it could not be reached, doubled each
+  // time up to the longest.
+  base::duration first_avoidance = std::chrono::milliseconds(300);
+  base::duration longest_avoidance = std::chrono::milliseconds(2400);
+  // How long one that refused for being closed or full is passed over.
+  base::duration refusal_avoidance = std::chrono::milliseconds(60);
+};
+
+struct gate_candidate {
+  std::string_view instance;
+  bool is_near = true;  // In this proxy's data centre.
+  int slots = 1;
+};
+
+struct chosen_gate {
+  std::size_t index = 0;
+  bool is_expected_free = true;  // A slot seems to be free.
+  bool is_unreachable = false;   // It could not be reached lately.
+};
+
+class gate_choice {
+ public:
+  explicit gate_choice(gate_choice_options options = {}) : options_(options) {}
+
+  // Nothing when there is no candidate.
+  std::optional<chosen_gate> Choose(std::span<const gate_candidate> candidates,
+                                    base::duration typical,
+                                    const base::random_hook& random,
+                                    base::steady_instant now) const;
+
+  void OnSend(std::string_view instance);
+  void OnEnd(std::string_view instance);
+  void OnReport(std::string_view instance, const gate_report& report,
+                base::steady_instant now);
+
+  // The gate refused without saying more than that it is closed.
+  void OnClosed(std::string_view instance, base::duration avoid,
+                base::steady_instant now);
+  void OnUnreachable(std::string_view instance, base::steady_instant now);
+  void OnReachable(std::string_view instance);
+
+  // Forgets all of a gate, as when another server stands behind it.
+  void Forget(std::string_view instance);
+
+ private:
+  struct gate_state {
+    gate_report report;
+    base::steady_instant reported;
+    int sent_since = 0;  // Since the report.
+    int in_flight = 0;   // From this proxy.
+    int unreachable_in_row = 0;
+    base::steady_instant avoid_until;
+    base::steady_instant closed_until;
+  };
+
+  struct estimate {
+    double cost = 0;
+    bool is_free = true;
+  };
+
+  estimate Estimate(const gate_candidate& candidate, const gate_state* known,
+                    base::duration typical, base::steady_instant now) const;
+
+  gate_choice_options options_;
+  std::map<std::string, gate_state, std::less<>> gates_;
+};
+
+}  // namespace fireflyspar::decisions
+
+#endif  // FIREFLYSPAR_DECISIONS_GATE_CHOICE_H_
--- /dev/null
+++ b/src/decisions/ranked_admission.cc
@@ -0,0 +1,97 @@
+#include "decisions/ranked_admission.h"
+
+#include <algorithm>
+
+namespace fireflyspar::decisions {
+namespace {
+
+// Weight of one answer in the smoothed time at the server: an eighth.
+constexpr int kSmoothing = 8;
+
+// Part of its typical time that a request must still have when it starts.
+constexpr int kLeastPartOfTypical = 2;  // A half.
+
+admission_result Refuse(base::error_kind reason, base::duration wait) {
+  return {.choice = admission_choice::kRefuse, .reason = reason, .wait = wait};
+}
+
+// Until when the claim is worth waiting for: the objective while it can be met
+// at all, the deadline after that.
+base::steady_instant LatestEnd(const admission_claim& claim,
+                               base::steady_instant now) {
+  const bool can_be_on_time = now + claim.typical <= claim.objective;
+  return can_be_on_time ? std::min(claim.objective, claim.deadline)
+                        : claim.deadline;
+}
+
+}  // namespace
+
+void ranked_admission::Open(int slots) {
+  slots_ = slots;
+  closed_.reset();
+}
+
+base::duration ranked_admission::ExpectedWait(
+    const admission_claim& claim) const {
+  const auto ahead = std::distance(queue_.begin(), queue_.lower_bound(claim));
+  const base::duration each = typical_.count() > 0 ? typical_ : claim.typical;
+  return each * (ahead + 1) / std::max(1, slots_);
+}
+
+admission_result ranked_admission::Enter(const admission_claim& claim,
+                                         base::steady_instant now) {
+  if (closed_) return Refuse(*closed_, {});
+  if (now >= claim.deadline) {
+    return Refuse(base::error_kind::kDeadlinePassed, {});
+  }
+  if (running_ < slots_ && queue_.empty()) {
+    ++running_;
+    return {.choice = admission_choice::kRun};
+  }
+  const base::duration wait = ExpectedWait(claim);
+  if (!claim.may_wait) return Refuse(base::error_kind::kShed, wait);
+  if (now + wait + claim.typical > LatestEnd(claim, now)) {
+    return Refuse(base::error_kind::kShed, wait);
+  }
+  queue_.insert(claim);
+  return {.choice = admission_choice::kWait, .wait = wait};
+}
+
+void ranked_admission::Leave(base::duration took) {
+  --running_;
+  typical_ =
+      typical_.count() == 0 ? took : typical_ + (took - typical_) / kSmoothing;
+}
+
+bool ranked_admission::Abandon(std::uint64_t ticket) {
+  const auto waiting =
+      std::ranges::find(queue_, ticket, &admission_claim::ticket);
+  if (waiting == queue_.end()) return false;
+  queue_.erase(waiting);
+  return true;
+}
+
+std::vector<admission_end> ranked_admission::Advance(base::steady_instant now) {
+  std::vector<admission_end> ended;
+  const auto end = [&](auto waiting, const admission_result& result) {
+    ended.push_back({.ticket = waiting->ticket, .result = result});
+    return queue_.erase(waiting);
+  };
+  for (auto each = queue_.begin(); each != queue_.end();) {
+    const bool is_hopeless =
+        now + each->typical / kLeastPartOfTypical > each->deadline;
+    if (closed_) {
+      each = end(each, Refuse(*closed_, {}));
+    } else if (is_hopeless) {
+      each = end(each, Refuse(base::error_kind::kShed, ExpectedWait(*each)));
+    } else if (running_ < slots_) {
+      ++running_;
+      each = end(each, {.choice = admission_choice::kRun});
+    } else {
+      ++each;
+    }
+  }
+  return ended;
+}
+
+}  // namespace fireflyspar::decisions
--- /dev/null
+++ b/src/decisions/version_trial.cc
@@ -0,0 +1,129 @@
+#include "decisions/version_trial.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace fireflyspar::decisions {
+namespace {
+
+// Fewer bad runs than this prove nothing.
+constexpr std::uint64_t kLeastFailed = 4;
+constexpr std::uint64_t kLeastSlow = 5;
+
+// A new version is worse when its share of bad runs is above this and above a
+// multiple of the old version's share.
+constexpr double kFailedFloor = 0.08;
+constexpr double kSlowFloor = 0.3;
+constexpr double kFailedMultiple = 3;
+constexpr double kSlowMultiple = 2;
+
+// Runs of the old version that the floors stand for while it has few.
+constexpr double kPriorRuns = 20;
+
+double PartOf(std::uint64_t part, std::uint64_t total) {
+  return total == 0 ? 0
+                    : static_cast<double>(part) / static_cast<double>(total);
+}
+
+// The old version's share, drawn to zero while it has run little.
+double OldShare(std::uint64_t part, std::uint64_t total) {
+  return static_cast<double>(part) / (static_cast<double>(total) + kPriorRuns);
+}
+
+}  // namespace
+
+version_trial::version_trial(trial_order order, base::steady_instant began,
+                             version_trial_options options)
+    : order_(std::move(order)), began_(began), options_(options) {}
+
+void version_trial::SetState(trial_state state) {
+  if (order_.state == trial_state::kRunning) order_.state = state;
+}
+
+void version_trial::Count(std::string_view server_id, std::string_view version,
+                          std::string_view route, const run_counts& counts) {
+  const auto key = std::pair(std::string(server_id), std::string(route));
+  const auto [found, is_first] = sources_.try_emplace(key);
+  source& counted = found->second;
+  if (is_first) {
+    counted.version = version;
+    // The new version's runs all belong to this trial.
+    if (version != order_.target_version) counted.first = counts;
+    routes_.try_emplace(std::string(route), 0);
+  }
+  if (counts.total >= counted.latest.total) counted.latest = counts;
+}
+
+double version_trial::PartOfPeriod(base::steady_instant now) const {
+  const std::chrono::duration<double> since = now - began_;
+  const std::chrono::duration<double> period = order_.period;
+  return period.count() <= 0 ? 1 : since / period;
+}
+
+double version_trial::Share(base::steady_instant now) const {
+  if (order_.state == trial_state::kRolledBack) return 0;
+  if (order_.state == trial_state::kSucceeded) return 1;
+  const double part = PartOfPeriod(now);
+  if (part < options_.canary_until) return options_.canary_share;
+  if (Sum(true, "").total < options_.least_runs) return options_.canary_share;
+  if (part < options_.middle_until) return options_.middle_share;
+  if (part < options_.large_until) return options_.large_share;
+  return 1;
+}
+
+run_counts version_trial::Sum(bool is_new, std::string_view route) const {
+  run_counts sum;
+  for (const auto& [key, each] : sources_) {
+    if ((each.version == order_.target_version) != is_new) continue;
+    if (!route.empty() && key.second != route) continue;
+    sum += {.total = each.latest.total - each.first.total,
+            .failed = each.latest.failed - each.first.failed,
+            .slow = each.latest.slow - each.first.slow};
+  }
+  return sum;
+}
+
+bool version_trial::IsWorse(std::string_view route) const {
+  const run_counts fresh = Sum(true, route);
+  const run_counts old = Sum(false, route);
+  const double failed_limit =
+      std::max(kFailedFloor, kFailedMultiple * OldShare(old.failed, old.total) +
+                                 kFailedFloor);
+  if (fresh.failed >= kLeastFailed &&
+      PartOf(fresh.failed, fresh.total) > failed_limit) {
+    return true;
+  }
+  const double slow_limit =
+      std::max(kSlowFloor, kSlowMultiple * OldShare(old.slow, old.total) +
+                               kSlowFloor / kSlowMultiple);
+  return fresh.slow >= kLeastSlow &&
+         PartOf(fresh.slow, fresh.total) > slow_limit;
+}
+
+bool version_trial::Judge() {
+  if (order_.state != trial_state::kRunning) return false;
+  const bool is_bad =
+      IsWorse("") || std::ranges::any_of(routes_ | std::views::keys,
+                                         [this](const std::string& route) {
+                                           return IsWorse(route);
+                                         });
+  if (is_bad) order_.state = trial_state::kRolledBack;
+  return is_bad;
+}
+
+bool version_trial::IsComplete(base::steady_instant now) const {
+  return order_.state == trial_state::kRunning &&
+         PartOfPeriod(now) >= options_.done_at && Share(now) >= 1;
+}
+
+std::string version_trial::Evidence() const {
+  const run_counts fresh = Sum(true, "");
+  const run_counts old = Sum(false, "");
+  const auto text = [](const run_counts& counts) {
+    return std::to_string(counts.failed) + "/" + std::to_string(counts.slow) +
+           "/" + std::to_string(counts.total);
+  };
+  return "failed/slow/all new " + text(fresh) + " old " + text(old);
+}
+
+}  // namespace fireflyspar::decisions
--- /dev/null
+++ b/src/proxy/gate.cc
@@ -0,0 +1,365 @@
+#include "proxy/gate.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+#include "backend_servers/exchange.h"
+
+namespace fireflyspar::proxy {
+namespace {
+
+using backend_servers::exchange_end;
+using backend_servers::exchange_options;
+using backend_servers::exchange_result;
+using backend_servers::HeaderOf;
+using base::error_kind;
+using base::event_weight;
+using decisions::admission_choice;
+using decisions::admission_claim;
+using decisions::admission_result;
+using decisions::server_condition;
+using std::chrono::milliseconds;
+using steady = std::chrono::steady_clock;
+
+// A server that has not reported for so long counts as gone.
+constexpr milliseconds kSilence{5000};
+
+// How much longer than its deadline a server's own last answer is waited for.
+constexpr milliseconds kAnswerGrace{60};
+
+constexpr milliseconds kConnectTimeout{1000};
+
+// A request that may not be repeated goes only to a connection that was used a
+// moment ago; one that the server has just closed would leave its outcome open.
+constexpr milliseconds kMaxIdleForUnsafe{1000};
+
+// Smoothing of the server's pace and of its failures: weight of one answer.
+constexpr double kPaceWeight = 0.125;
+constexpr double kFailureWeight = 0.125;
+constexpr double kMostPace = 16;
+constexpr double kLeastPace = 0.1;
+constexpr double kColdPace = 2;
+
+// The failing share halves in this time while nothing fails or succeeds.
+constexpr milliseconds kFailureHalfLife{2000};
+
+// An answer that takes this many typical times is slow.
+constexpr int kSlowMultiple = 3;
+
+bool IsServerFailure(const gate_outcome& outcome) {
+  if (outcome.end == gate_end::kUnknown) {
+    return outcome.reason == error_kind::kServerFailed;
+  }
+  constexpr unsigned kServerErrors = 500;
+  return outcome.end == gate_end::kAnswered &&
+         outcome.answer.result_int() >= kServerErrors;
+}
+
+base::duration Since(base::steady_instant begun) {
+  return std::chrono::duration_cast<base::duration>(steady::now() - begun);
+}
+
+}  // namespace
+
+gate::gate(gate_options options)
+    : options_(std::move(options)), pool_(options_.executor) {}
+
+bool gate::OnReport(const server_report& report) {
+  if (server_ && report.server.born_ms < server_->born_ms) return false;
+  const bool is_same_start = server_ && report.server.id == server_->id &&
+                             report.server.born_ms == server_->born_ms;
+  if (is_same_start && report.sequence <= sequence_) return false;
+  const auto now = steady::now();
+  if (!is_same_start) {
+    has_left_ = false;
+    is_misaddressed_ = false;
+    counts_.clear();
+    failing_share_ = 0;
+    pace_ = report.cold_left.count() > 0 ? kColdPace : 1;
+    pool_.Drop(address_);
+  }
+  sequence_ = report.sequence;
+  address_ = report.address;
+  heard_ = now;
+  cold_until_ = now + report.cold_left;
+  const std::optional<decisions::server_info> before = server_;
+  server_ = report.server;
+  if (has_left_) server_->condition = server_condition::kDraining;
+  Apply();
+  if (server_ != before) {
+    options_.log->Write(
+        event_weight::kState, "server_changed",
+        {{"server", server_->id},
+         {"service", server_->service},
+         {"version", server_->version},
+         {"condition", server_->condition == server_condition::kServing
+                           ? "serving"
+                           : "draining"},
+         {"sequence", std::to_string(sequence_)}});
+    options_.on_change(server_);
+  }
+  return true;
+}
+
+void gate::OnLeave(std::string_view server_id) {
+  if (!server_ || server_->id != server_id) return;
+  has_left_ = true;
+  if (server_->condition == server_condition::kDraining) return;
+  server_->condition = server_condition::kDraining;
+  Apply();
+  options_.log->Write(event_weight::kState, "server_leaving",
+                      {{"server", server_->id}});
+  options_.on_change(server_);
+}
+
+void gate::Apply() {
+  const bool is_open = server_ && !is_closed_ && !is_misaddressed_ &&
+                       server_->condition == server_condition::kServing;
+  if (is_open) {
+    admission_.Open(server_->slots);
+  } else {
+    const bool leaves = is_closed_ || (server_ && !is_misaddressed_);
+    admission_.Close(leaves ? error_kind::kDraining : error_kind::kNoServer);
+  }
+  GiveTurns();
+}
+
+void gate::Tick() {
+  if (server_ && steady::now() - heard_ > kSilence) {
+    options_.log->Write(event_weight::kState, "server_silent",
+                        {{"server", server_->id},
+                         {"silent_ms", std::to_string(kSilence.count())}});
+    server_.reset();
+    options_.on_change(server_);
+    Apply();
+  }
+  GiveTurns();
+}
+
+void gate::Close() {
+  is_closed_ = true;
+  Apply();
+}
+
+void gate::GiveTurns() {
+  for (const auto& end : admission_.Advance(steady::now())) {
+    const auto found = waiters_.find(end.ticket);
+    if (found == waiters_.end()) continue;
+    found->second->result = end.result;
+    found->second->timer.cancel();
+  }
+}
+
+net::awaitable<admission_result> gate::WaitForTurn(
+    admission_claim claim, backend_servers::cancellation& cancel) {
+  waiter waiting(options_.executor);
+  waiters_[claim.ticket] = &waiting;
+  waiting.timer.expires_at(claim.deadline);
+  cancel.OnCancel([&waiting] { waiting.timer.cancel(); });
+  boost::system::error_code ignored;
+  if (!cancel.IsCancelled()) {
+    co_await waiting.timer.async_wait(
+        net::redirect_error(net::use_awaitable, ignored));
+  }
+  cancel.OnCancel(nullptr);
+  waiters_.erase(claim.ticket);
+  if (waiting.result) co_return *waiting.result;
+  admission_.Abandon(claim.ticket);
+  admission_result gone;
+  gone.choice = admission_choice::kRefuse;
+  gone.reason = cancel.IsCancelled() ? error_kind::kCancelled
+                                     : error_kind::kDeadlinePassed;
+  co_return gone;
+}
+
+net::awaitable<gate_outcome> gate::Run(
+    const call_offer& offer, backend_servers::http_request& request,
+    const std::function<net::awaitable<bool>()>& read_body,
+    backend_servers::cancellation& cancel) {
+  const auto begun = steady::now();
+  gate_outcome outcome;
+  const bool is_right = server_ && server_->service == offer.service &&
+                        server_->version == offer.version;
+  if (!is_right) {
+    outcome = NotRun(error_kind::kNoServer, "another server stands here");
+    LogOutcome(offer, request, outcome, {});
+    co_return outcome;
+  }
+  const auto pace_now = IsCold(begun) ? std::max(pace_, kColdPace) : pace_;
+  const admission_claim claim{
+      .ticket = ++last_ticket_,
+      .is_call = offer.is_call,
+      .rank = offer.rank,
+      .may_wait = offer.may_wait,
+      .typical = base::duration(static_cast<std::int64_t>(
+          static_cast<double>(offer.typical.count()) * pace_now)),
+      .objective = begun + offer.objective_left,
+      .deadline = begun + offer.left};
+  admission_result admitted = admission_.Enter(claim, begun);
+  if (admitted.choice == admission_choice::kWait) {
+    admitted = co_await WaitForTurn(claim, cancel);
+  }
+  const base::duration waited = Since(begun);
+  if (admitted.choice == admission_choice::kRefuse) {
+    outcome = NotRun(admitted.reason, "refused by the gate");
+    outcome.wait = admitted.wait;
+    if (admitted.reason == error_kind::kCancelled) {
+      outcome.end = gate_end::kCancelled;
+    }
+    outcome.status = Status(offer.route, {});
+    LogOutcome(offer, request, outcome, waited);
+    co_return outcome;
+  }
+  bool is_whole = !cancel.IsCancelled();
+  if (is_whole && read_body) is_whole = co_await read_body();
+  if (!is_whole) {
+    admission_.Leave({});
+    GiveTurns();
+    outcome = Cancelled();
+    LogOutcome(offer, request, outcome, waited);
+    co_return outcome;
+  }
+  const auto sent = steady::now();
+  outcome = co_await Send(offer, request, claim.deadline, cancel);
+  const base::duration took = Since(sent);
+  admission_.Leave(took);
+  Observe(offer, outcome, took);
+  GiveTurns();
+  outcome.status = Status(offer.route, took);
+  LogOutcome(offer, request, outcome, waited);
+  co_return outcome;
+}
+
+net::awaitable<gate_outcome> gate::Send(const call_offer& offer,
+                                        backend_servers::http_request& request,
+                                        base::steady_instant deadline,
+                                        backend_servers::cancellation& cancel) {
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(deadline - steady::now());
+  if (left.count() <= 0) {
+    co_return NotRun(error_kind::kDeadlinePassed, "no time is left");
+  }
+  const header_names& names = options_.headers;
+  request.set(names.deadline_ms, std::to_string(left.count()));
+  request.set(names.expected_server, server_->id);
+  request.set(names.caller_service, offer.caller_service);
+  request.keep_alive(true);
+  exchange_options options;
+  options.to = address_;
+  options.deadline = deadline + kAnswerGrace;
+  options.connect_timeout = kConnectTimeout;
+  if (!offer.is_idempotent) options.max_idle = kMaxIdleForUnsafe;
+  options.echoed_header = names.request_id;
+  options.takes_unframed = true;
+  exchange_result ended =
+      co_await backend_servers::Exchange(pool_, options, request, cancel);
+  switch (ended.end) {
+    case exchange_end::kCancelled:
+      co_return Cancelled();
+    case exchange_end::kTimedOut:
+      if (ended.sent) {
+        co_return Unknown(error_kind::kDeadlinePassed, ended.detail);
+      }
+      co_return NotRun(error_kind::kDeadlinePassed, ended.detail);
+    case exchange_end::kBroken:
+      if (ended.sent) {
+        co_return Unknown(error_kind::kServerFailed, ended.detail);
+      }
+      co_return NotRun(error_kind::kNoServer, ended.detail);
+    case exchange_end::kAnswered:
+      break;
+  }
+  constexpr unsigned kMisdirected = 421;
+  if (ended.answer.result_int() == kMisdirected) {
+    is_misaddressed_ = true;
+    Apply();
+    co_return NotRun(error_kind::kNoServer, "another server has the address");
+  }
+  if (!HeaderOf(ended.answer, names.not_run).empty()) {
+    gate_outcome refused = NotRun(error_kind::kShed, "the server refused it");
+    refused.wait = offer.typical;
+    co_return refused;
+  }
+  gate_outcome answered;
+  answered.end = gate_end::kAnswered;
+  answered.answer = std::move(ended.answer);
+  answered.answer.erase(kOutcomeHeader);
+  answered.answer.erase(kStatusHeader);
+  co_return answered;
+}
+
+void gate::Observe(const call_offer& offer, const gate_outcome& outcome,
+                   base::duration took) {
+  if (outcome.end == gate_end::kCancelled) return;
+  const auto now = steady::now();
+  const bool is_refusal = outcome.end == gate_end::kNotRun;
+  const bool failed = is_refusal || IsServerFailure(outcome);
+  failing_share_ += ((failed ? 1 : 0) - failing_share_) * kFailureWeight;
+  failing_seen_ = now;
+  if (is_refusal) return;
+  const double typical = static_cast<double>(offer.typical.count());
+  const double ratio =
+      typical > 0 ? static_cast<double>(took.count()) / typical : 1;
+  if (!failed) {
+    pace_ += (std::clamp(ratio, kLeastPace, kMostPace) - pace_) * kPaceWeight;
+  }
+  if (IsCold(now) && !failed) return;
+  decisions::run_counts& counts = counts_[offer.route];
+  ++counts.total;
+  if (failed) ++counts.failed;
+  if (ratio > kSlowMultiple) ++counts.slow;
+}
+
+gate_status gate::Status(const std::string& route, base::duration took) const {
+  gate_status status;
+  status.load.running = admission_.Running();
+  status.load.waiting = admission_.Waiting();
+  status.load.slots = admission_.Slots();
+  const auto now = steady::now();
+  status.load.pace = IsCold(now) ? std::max(pace_, kColdPace) : pace_;
+  const double half_lives = std::chrono::duration<double>(now - failing_seen_) /
+                            std::chrono::duration<double>(kFailureHalfLife);
+  status.load.failing_share = failing_share_ * std::exp2(-half_lives);
+  if (server_) {
+    status.server_id = server_->id;
+    status.version = server_->version;
+  }
+  const auto counted = counts_.find(route);
+  if (counted != counts_.end()) status.counts = counted->second;
+  status.took = took;
+  return status;
+}
+
+void gate::LogOutcome(const call_offer& offer,
+                      const backend_servers::http_request& request,
+                      const gate_outcome& outcome, base::duration waited) {
+  const bool is_good = outcome.end == gate_end::kAnswered;
+  const std::string_view result = is_good
+                                      ? std::string_view("answered")
+                                      : base::AnswerFor(outcome.reason).name;
+  options_.metrics
+      ->Counter("fireflyspar_gate_requests_total",
+                "outcome=\"" + std::string(result) + "\"")
+      .fetch_add(1, std::memory_order_relaxed);
+  options_.log->Write(
+      is_good ? event_weight::kSuccess : event_weight::kFailure, "gate",
+      {{"id", std::string(HeaderOf(request, options_.headers.request_id))},
+       {"route", offer.route},
+       {"server", server_ ? server_->id : ""},
+       {"outcome", std::string(result)},
+       {"status", is_good ? std::to_string(outcome.answer.result_int()) : ""},
+       {"detail", outcome.detail},
+       {"waited_us", std::to_string(waited.count())},
+       {"took_us",
+        outcome.status ? std::to_string(outcome.status->took.count()) : ""},
+       {"left_us", std::to_string(offer.left.count())},
+       {"may_wait", offer.may_wait ? "1" : "0"},
+       {"running", std::to_string(admission_.Running())},
+       {"waiting", std::to_string(admission_.Waiting())}});
+}
+
+}  // namespace fireflyspar::proxy
--- /dev/null
+++ b/src/proxy/gate_messages.cc
@@ -0,0 +1,205 @@
+#include "proxy/gate_messages.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <sstream>
+
+namespace fireflyspar::proxy {
+namespace {
+
+using backend_servers::http_response;
+
+constexpr std::string_view kEmpty = "-";
+
+// Writes words parted by spaces.
+class word_writer {
+ public:
+  word_writer& Add(std::string_view word) {
+    if (!text_.empty()) text_.push_back(' ');
+    text_.append(word.empty() ? kEmpty : word);
+    return *this;
+  }
+  word_writer& Add(std::int64_t number) { return Add(std::to_string(number)); }
+  word_writer& Add(base::duration span) { return Add(span.count()); }
+
+  std::string Text() && { return std::move(text_); }
+
+ private:
+  std::string text_;
+};
+
+// Reads them back; once a word is missing or malformed, all that follow fail.
+class word_reader {
+ public:
+  explicit word_reader(std::string_view text) : text_(text) {}
+
+  bool Ok() const { return ok_; }
+
+  std::string Word() {
+    const std::size_t end = std::min(text_.find(' '), text_.size());
+    const std::string_view word = text_.substr(0, end);
+    text_.remove_prefix(std::min(end + 1, text_.size()));
+    if (word.empty()) ok_ = false;
+    return word == kEmpty ? std::string() : std::string(word);
+  }
+
+  std::int64_t Number() {
+    const std::string word = Word();
+    std::int64_t number = 0;
+    const char* end = word.data() + word.size();
+    const auto parsed = std::from_chars(word.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end) ok_ = false;
+    return number;
+  }
+
+  int Integer() { return static_cast<int>(Number()); }
+  base::duration Span() { return base::duration(Number()); }
+
+ private:
+  std::string_view text_;
+  bool ok_ = true;
+};
+
+// Shares and paces travel as whole thousandths.
+constexpr double kThousand = 1000;
+
+std::int64_t ToThousandths(double value) {
+  return static_cast<std::int64_t>(value * kThousand);
+}
+
+constexpr std::array<std::pair<gate_end, std::string_view>, 4> kEnds = {{
+    {gate_end::kAnswered, "answered"},
+    {gate_end::kNotRun, "not-run"},
+    {gate_end::kUnknown, "unknown"},
+    {gate_end::kCancelled, "cancelled"},
+}};
+
+std::string_view EndName(gate_end end) {
+  return std::ranges::find(kEnds, end, &decltype(kEnds)::value_type::first)
+      ->second;
+}
+
+gate_end EndNamed(std::string_view name) {
+  const auto found =
+      std::ranges::find(kEnds, name, &decltype(kEnds)::value_type::second);
+  return found == kEnds.end() ? gate_end::kUnknown : found->first;
+}
+
+base::error_kind KindNamed(std::string_view name) {
+  const auto table = base::AnswerTable();
+  const auto row = std::ranges::find(table, name, &base::answer::name);
+  return row == table.end() ? base::error_kind::kInternal : row->kind;
+}
+
+}  // namespace
+
+std::string ToText(const call_offer& offer) {
+  word_writer words;
+  words.Add(offer.service).Add(offer.version).Add(offer.route);
+  words.Add(offer.caller_service);
+  words.Add(offer.is_idempotent).Add(offer.is_call).Add(offer.may_wait);
+  words.Add(offer.rank).Add(offer.left).Add(offer.objective_left);
+  words.Add(offer.typical);
+  return std::move(words).Text();
+}
+
+std::optional<call_offer> ParseOffer(std::string_view text) {
+  word_reader words(text);
+  call_offer offer;
+  offer.service = words.Word();
+  offer.version = words.Word();
+  offer.route = words.Word();
+  offer.caller_service = words.Word();
+  offer.is_idempotent = words.Number() != 0;
+  offer.is_call = words.Number() != 0;
+  offer.may_wait = words.Number() != 0;
+  offer.rank = words.Integer();
+  offer.left = words.Span();
+  offer.objective_left = words.Span();
+  offer.typical = words.Span();
+  if (!words.Ok()) return std::nullopt;
+  return offer;
+}
+
+std::string ToText(const gate_status& status) {
+  word_writer words;
+  words.Add(status.load.running).Add(status.load.waiting);
+  words.Add(status.load.slots).Add(ToThousandths(status.load.pace));
+  words.Add(ToThousandths(status.load.failing_share));
+  words.Add(status.server_id).Add(status.version);
+  words.Add(static_cast<std::int64_t>(status.counts.total));
+  words.Add(static_cast<std::int64_t>(status.counts.failed));
+  words.Add(static_cast<std::int64_t>(status.counts.slow));
+  words.Add(status.took);
+  return std::move(words).Text();
+}
+
+std::optional<gate_status> ParseStatus(std::string_view text) {
+  word_reader words(text);
+  gate_status status;
+  status.load.running = words.Integer();
+  status.load.waiting = words.Integer();
+  status.load.slots = words.Integer();
+  status.load.pace = static_cast<double>(words.Number()) / kThousand;
+  status.load.failing_share = static_cast<double>(words.Number()) / kThousand;
+  status.server_id = words.Word();
+  status.version = words.Word();
+  status.counts.total = static_cast<std::uint64_t>(words.Number());
+  status.counts.failed = static_cast<std::uint64_t>(words.Number());
+  status.counts.slow = static_cast<std::uint64_t>(words.Number());
+  status.took = words.Span();
+  if (!words.Ok()) return std::nullopt;
+  return status;
+}
+
+gate_outcome NotRun(base::error_kind reason, std::string detail) {
+  return {
+      .end = gate_end::kNotRun, .reason = reason, .detail = std::move(detail)};
+}
+
+gate_outcome Unknown(base::error_kind reason, std::string detail) {
+  return {
+      .end = gate_end::kUnknown, .reason = reason, .detail = std::move(detail)};
+}
+
+gate_outcome Cancelled() {
+  return {.end = gate_end::kCancelled, .reason = base::error_kind::kCancelled};
+}
+
+http_response ToMessage(gate_outcome outcome) {
+  http_response message = std::move(outcome.answer);
+  if (outcome.end != gate_end::kAnswered) {
+    message = backend_servers::MakeRefusal(outcome.reason, outcome.detail);
+  }
+  word_writer words;
+  words.Add(EndName(outcome.end));
+  words.Add(base::AnswerFor(outcome.reason).name).Add(outcome.wait);
+  message.set(kOutcomeHeader, std::move(words).Text());
+  if (outcome.status) message.set(kStatusHeader, ToText(*outcome.status));
+  return message;
+}
+
+gate_outcome FromMessage(http_response message) {
+  using backend_servers::HeaderOf;
+  gate_outcome outcome;
+  outcome.status = ParseStatus(HeaderOf(message, kStatusHeader));
+  word_reader words(HeaderOf(message, kOutcomeHeader));
+  outcome.end = EndNamed(words.Word());
+  outcome.reason = KindNamed(words.Word());
+  outcome.wait = words.Span();
+  if (!words.Ok()) {
+    return Unknown(base::error_kind::kMalformedMessage,
+                   "the gate's answer tells no outcome");
+  }
+  message.erase(kOutcomeHeader);
+  message.erase(kStatusHeader);
+  if (outcome.end == gate_end::kAnswered) {
+    outcome.answer = std::move(message);
+  } else {
+    outcome.detail = "said by the gate";
+  }
+  return outcome;
+}
+
+}  // namespace fireflyspar::proxy
--- /dev/null
+++ b/src/proxy/listener.cc
@@ -0,0 +1,333 @@
+#include "proxy/listener.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cerrno>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace fireflyspar::proxy {
+namespace {
+
+namespace http = backend_servers::http;
+using backend_servers::cancellation;
+using backend_servers::connection;
+using backend_servers::http_request;
+using backend_servers::http_response;
+using backend_servers::tcp;
+using base::error_kind;
+using boost::system::error_code;
+
+using request_parser = http::request_parser<http::string_body>;
+
+// How long a connection that ends is read from, so that the last answer still
+// arrives when the caller has sent more than was read.
+constexpr std::chrono::milliseconds kLinger{300};
+
+// How long accepting rests when the process is out of descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{50};
+
+// Watches a caller's connection while its request is worked on. Bytes that come
+// meanwhile are the next request's and end the watch; an end of the connection
+// cancels the work.
+void WatchForClose(connection& client,
+                   const std::shared_ptr<cancellation>& cancel) {
+  auto& socket = client.stream.socket();
+  const int handle = socket.native_handle();
+  socket.async_wait(
+      tcp::socket::wait_read, [cancel, handle](const error_code& error) {
+        if (error) return;
+        char byte = 0;
+        const ssize_t got = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool is_alive =
+            got > 0 || (got < 0 && (errno == EAGAIN || errno == EINTR));
+        if (!is_alive) cancel->Cancel();
+      });
+}
+
+void StopWatching(connection& client) {
+  error_code ignored;
+  ignored = client.stream.socket().cancel(ignored);
+}
+
+// What to tell a caller whose request could not be read; nothing when there is
+// nobody to tell.
+std::optional<http_response> RefusalFor(const error_code& error) {
+  if (error == http::error::header_limit) {
+    http_response refusal = backend_servers::MakeRefusal(
+        error_kind::kTooLarge, "the request's headers are too large");
+    refusal.result(http::status::request_header_fields_too_large);
+    return refusal;
+  }
+  if (error == http::error::body_limit) {
+    return backend_servers::MakeRefusal(error_kind::kTooLarge,
+                                        "the request's body is too large");
+  }
+  const bool is_http_error =
+      error.category() == make_error_code(http::error::bad_method).category();
+  const bool is_end = error == http::error::end_of_stream ||
+                      error == http::error::partial_message;
+  if (!is_http_error || is_end) return std::nullopt;
+  return backend_servers::MakeRefusal(
+      error_kind::kBadRequest, "the request is malformed: " + error.message());
+}
+
+// An answer to HEAD, or one with a status that has none, goes without a body.
+void TrimBody(bool to_head, http_response& response) {
+  const unsigned status = response.result_int();
+  if (status == 204 || status == 304) {
+    response.body().clear();
+    response.erase(http::field::content_length);
+  } else if (to_head) {
+    response.body().clear();
+  }
+}
+
+net::awaitable<void> CloseGently(connection& client) {
+  error_code error;
+  error = client.stream.socket().shutdown(tcp::socket::shutdown_send, error);
+  client.stream.expires_after(kLinger);
+  std::array<char, 4096> taken{};
+  auto token = net::redirect_error(net::use_awaitable, error);
+  while (!error) {
+    co_await client.stream.async_read_some(net::buffer(taken), token);
+  }
+}
+
+}  // namespace
+
+struct listener::state : std::enable_shared_from_this<listener::state> {
+  state(net::any_io_executor executor, listener_options given)
+      : options(std::move(given)), acceptor(std::move(executor)) {}
+
+  net::awaitable<void> Accept();
+  net::awaitable<void> Serve(std::shared_ptr<connection> client);
+  net::awaitable<error_code> ReadHead(connection& client,
+                                      std::optional<request_parser>& parser);
+  net::awaitable<error_code> ReadBody(connection& client,
+                                      request_parser& parser);
+  net::awaitable<bool> ReadHeldBody(connection& client, request_parser& parser,
+                                    served_call& call);
+  net::awaitable<http_response> Handle(connection& client,
+                                       request_parser& parser, bool is_held,
+                                       served_call& call);
+
+  listener_options options;
+  tcp::acceptor acceptor;
+  std::set<std::shared_ptr<connection>> idle;  // Between two requests.
+  int active = 0;
+  int connections = 0;
+  bool keeps = true;
+  bool closed = false;
+};
+
+net::awaitable<error_code> listener::state::ReadHead(
+    connection& client, std::optional<request_parser>& parser) {
+  error_code error;
+  auto token = net::redirect_error(net::use_awaitable, error);
+  const config::request_limits limits = options.limits();
+  parser.emplace();
+  parser->header_limit(limits.header_bytes);
+  parser->body_limit(limits.body_bytes);
+  if (client.buffer.size() == 0) {
+    // The long wait is only for the first byte; a request once begun has the
+    // shorter time, so that slow senders can't hold connections.
+    client.stream.expires_after(limits.idle_timeout);
+    constexpr std::size_t kFirstRead = 4096;
+    const std::size_t got = co_await client.stream.async_read_some(
+        client.buffer.prepare(kFirstRead), token);
+    if (error) co_return error;
+    client.buffer.commit(got);
+  }
+  ++active;
+  client.stream.expires_after(limits.header_timeout);
+  co_await http::async_read_header(client.stream, client.buffer, *parser,
+                                   token);
+  if (error) --active;
+  co_return error;
+}
+
+// Asks for the body where the caller waits to be asked, and reads it.
+net::awaitable<error_code> listener::state::ReadBody(connection& client,
+                                                     request_parser& parser) {
+  error_code error;
+  if (parser.is_done()) co_return error;
+  auto token = net::redirect_error(net::use_awaitable, error);
+  client.stream.expires_after(options.limits().header_timeout);
+  if (http::token_list(parser.get()[http::field::expect])
+          .exists("100-continue")) {
+    http::response<http::empty_body> go_on(http::status::continue_, 11);
+    co_await http::async_write(client.stream, go_on, token);
+    if (error) co_return error;
+  }
+  co_await http::async_read(client.stream, client.buffer, parser, token);
+  client.stream.expires_never();
+  co_return error;
+}
+
+net::awaitable<bool> listener::state::ReadHeldBody(connection& client,
+                                                   request_parser& parser,
+                                                   served_call& call) {
+  StopWatching(client);
+  const error_code error = co_await ReadBody(client, parser);
+  if (error) co_return false;
+  call.request = parser.release();
+  WatchForClose(client, call.cancel);
+  co_return true;
+}
+
+net::awaitable<http_response> listener::state::Handle(connection& client,
+                                                      request_parser& parser,
+                                                      bool is_held,
+                                                      served_call& call) {
+  call.cancel = std::make_shared<cancellation>();
+  if (is_held) {
+    call.request.base() = parser.get().base();
+    call.read_body = [this, &client, &parser, &call] {
+      return ReadHeldBody(client, parser, call);
+    };
+  } else {
+    call.request = parser.release();
+  }
+  WatchForClose(client, call.cancel);
+  http_response answer = co_await options.handler(call);
+  StopWatching(client);
+  co_return answer;
+}
+
+net::awaitable<void> listener::state::Serve(
+    std::shared_ptr<connection> client) {
+  ++connections;
+  const auto self = shared_from_this();
+  const auto on_end = [self](connection*) { --self->connections; };
+  const std::unique_ptr<connection, decltype(on_end)> leaving(client.get(),
+                                                              on_end);
+  std::optional<request_parser> parser;
+  for (;;) {
+    idle.insert(client);
+    error_code error = co_await ReadHead(*client, parser);
+    idle.erase(client);
+    bool is_held = false;
+    if (!error) {
+      is_held = options.holds_bodies && !parser->is_done() &&
+                http::token_list(parser->get()[http::field::expect])
+                    .exists("100-continue");
+      if (!is_held) {
+        error = co_await ReadBody(*client, *parser);
+        if (error) --active;
+      }
+    }
+    if (error) {
+      auto refusal = RefusalFor(error);
+      if (!refusal) co_return;
+      refusal->keep_alive(false);
+      error_code write_error;
+      client->stream.expires_after(options.write_timeout);
+      co_await http::async_write(
+          client->stream, *refusal,
+          net::redirect_error(net::use_awaitable, write_error));
+      co_await CloseGently(*client);
+      co_return;
+    }
+    client->stream.expires_never();
+    const unsigned version = parser->get().version();
+    bool stays = parser->get().keep_alive();
+    const bool to_head = parser->get().method() == http::verb::head;
+    served_call call;
+    call.remote = client->stream.socket().remote_endpoint(error);
+    http_response answer = co_await Handle(*client, *parser, is_held, call);
+    if (call.cancel->IsCancelled()) {
+      --active;
+      co_return;
+    }
+    TrimBody(to_head, answer);
+    answer.version(version);
+    stays = stays && keeps && !closed;
+    answer.keep_alive(stays);
+    client->stream.expires_after(options.write_timeout);
+    error_code write_error;
+    co_await http::async_write(
+        client->stream, answer,
+        net::redirect_error(net::use_awaitable, write_error));
+    --active;
+    if (write_error) co_return;
+    if (!stays) {
+      co_await CloseGently(*client);
+      co_return;
+    }
+  }
+}
+
+net::awaitable<void> listener::state::Accept() {
+  const auto self = shared_from_this();
+  error_code error;
+  auto token = net::redirect_error(net::use_awaitable, error);
+  while (!closed) {
+    tcp::socket socket(acceptor.get_executor());
+    co_await acceptor.async_accept(socket, token);
+    if (error == net::error::operation_aborted) co_return;
+    if (error) {
+      net::steady_timer pause(acceptor.get_executor(), kAcceptPause);
+      co_await pause.async_wait(token);
+      continue;
+    }
+    if (connections >= options.max_connections) continue;
+    error = socket.set_option(tcp::no_delay(true), error);
+    if (options.dead_peer_timeout.count() > 0) {
+      backend_servers::WatchPeer(socket, options.dead_peer_timeout);
+    }
+    net::co_spawn(acceptor.get_executor(),
+                  Serve(std::make_shared<connection>(std::move(socket))),
+                  net::detached);
+  }
+}
+
+listener::listener(net::any_io_executor executor, listener_options options)
+    : state_(std::make_shared<state>(std::move(executor), std::move(options))) {
+}
+
+listener::~listener() { Close(); }
+
+base::status listener::Start() {
+  error_code error;
+  const base::address& wanted = state_->options.address;
+  tcp::acceptor& acceptor = state_->acceptor;
+  const tcp::endpoint endpoint = backend_servers::ToEndpoint(wanted);
+  error = acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    error = acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) error = acceptor.bind(endpoint, error);
+  if (!error) {
+    error = acceptor.listen(net::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return base::Fail(
+        error_kind::kBadSettings,
+        "can't listen on " + wanted.ToText() + ": " + error.message());
+  }
+  net::co_spawn(acceptor.get_executor(), state_->Accept(), net::detached);
+  return base::nothing{};
+}
+
+void listener::StopKeeping() { state_->keeps = false; }
+
+void listener::Close() {
+  state_->closed = true;
+  error_code ignored;
+  ignored = state_->acceptor.close(ignored);
+  for (const auto& each : state_->idle) {
+    ignored = each->stream.socket().close(ignored);
+  }
+}
+
+int listener::Active() const { return state_->active; }
+
+}  // namespace fireflyspar::proxy
--- /dev/null
+++ b/src/proxy/object_follower.cc
@@ -0,0 +1,102 @@
+#include "proxy/object_follower.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace fireflyspar::proxy {
+namespace {
+
+using base::error_kind;
+using base::event_weight;
+using std::chrono::milliseconds;
+
+// The longest wait of one watch.
+constexpr milliseconds kWatchWait{25'000};
+
+// Between two tries at a store that does not answer; doubled each time, with
+// full jitter, up to the longest.
+constexpr milliseconds kFirstRetry{100};
+constexpr milliseconds kLongestRetry{1000};
+constexpr int kMostDoublings = 4;
+
+// A store that says it has too many calls is left alone for longer.
+constexpr int kOverRateFactor = 2;
+
+}  // namespace
+
+net::awaitable<void> object_follower::Run() {
+  for (;;) {
+    bool is_following = co_await List();
+    while (is_following) is_following = co_await Watch();
+  }
+}
+
+net::awaitable<bool> object_follower::List() {
+  const auto listed = co_await options_.store->list(options_.kind);
+  if (!listed) {
+    const base::duration pause = Disconnected(listed.Failure());
+    co_await Pause(pause);
+    co_return false;
+  }
+  Connected();
+  revision_ = listed->revision;
+  has_list_ = true;
+  options_.on_list(listed->objects);
+  co_return true;
+}
+
+// False when the objects have to be listed again.
+net::awaitable<bool> object_follower::Watch() {
+  const auto heard =
+      co_await options_.store->watch(options_.kind, revision_, kWatchWait);
+  if (!heard) {
+    if (heard.Failure().Kind() == error_kind::kHistoryGone) co_return false;
+    const base::duration pause = Disconnected(heard.Failure());
+    co_await Pause(pause);
+    co_return true;
+  }
+  Connected();
+  revision_ = std::max(revision_, heard->revision);
+  for (const object_change& each : heard->changes) options_.on_change(each);
+  if (!heard->changes.empty()) co_await Pause(options_.gather);
+  co_return true;
+}
+
+net::awaitable<void> object_follower::Pause(base::duration span) {
+  net::steady_timer timer(options_.executor, span);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+}
+
+void object_follower::Connected() {
+  failures_in_row_ = 0;
+  if (is_connected_) return;
+  is_connected_ = true;
+  options_.log->Write(event_weight::kState, "store_regained",
+                      {{"kind", options_.kind}});
+}
+
+base::duration object_follower::Disconnected(const base::failure& failure) {
+  if (is_connected_) {
+    is_connected_ = false;
+    options_.log->Write(
+        event_weight::kState, "store_lost",
+        {{"kind", options_.kind},
+         {"reason", std::string(base::AnswerFor(failure.Kind()).name)},
+         {"detail", failure.detail}});
+  }
+  base::duration longest = std::min<base::duration>(
+      kFirstRetry * (1 << std::min(failures_in_row_, kMostDoublings)),
+      kLongestRetry);
+  ++failures_in_row_;
+  if (failure.Kind() == error_kind::kPlatformOverRate) {
+    longest *= kOverRateFactor;
+  }
+  const double part = base::Unit(options_.random());
+  return base::duration(
+      static_cast<std::int64_t>(static_cast<double>(longest.count()) * part));
+}
+
+}  // namespace fireflyspar::proxy
--- /dev/null
+++ b/src/proxy/object_follower.h
@@ -0,0 +1,60 @@
+// Follows the objects of one kind: lists them, then watches for what changes,
+// and lists again when the store has forgotten the changes in between. While
+// the store can't be reached, what was learnt last stays.
+#ifndef FIREFLYSPAR_PROXY_OBJECT_FOLLOWER_H_
+#define FIREFLYSPAR_PROXY_OBJECT_FOLLOWER_H_
+
+#include <functional>
+#include <span>
+#include <string>
+
+#include "base/event_log.h"
+#include "base/hooks.h"
+#include "proxy/object_store.h"
+
+namespace fireflyspar::proxy {
+
+struct object_follower_options {
+  net::any_io_executor executor;
+  std::string kind;
+  const object_store* store = nullptr;
+  base::event_log* log = nullptr;
+  base::random_hook random;
+  // A pause after each change, in which further ones gather into one answer.
+  std::chrono::milliseconds gather{200};
+  // All objects of the kind as they are now.
+  std::function<void(std::span<const stored_object>)> on_list;
+  std::function<void(const object_change&)> on_change;
+};
+
+class object_follower {
+ public:
+  explicit object_follower(object_follower_options options)
+      : options_(std::move(options)) {}
+
+  // Runs until the executor's context ends.
+  net::awaitable<void> Run();
+
+  // Whether a list has been read since the process started.
+  bool HasList() const { return has_list_; }
+
+  // Whether the last call to the store was answered.
+  bool IsConnected() const { return is_connected_; }
+
+ private:
+  net::awaitable<bool> List();
+  net::awaitable<bool> Watch();
+  net::awaitable<void> Pause(base::duration span);
+  void Connected();
+  base::duration Disconnected(const base::failure& failure);
+
+  object_follower_options options_;
+  std::uint64_t revision_ = 0;
+  bool has_list_ = false;
+  bool is_connected_ = true;
+  int failures_in_row_ = 0;
+};
+
+}  // namespace fireflyspar::proxy
+
+#endif  // FIREFLYSPAR_PROXY_OBJECT_FOLLOWER_H_
--- /dev/null
+++ b/src/proxy/router.h
@@ -0,0 +1,120 @@
+// The way of a request through the proxy where it began: the route, the service
+// and its version, the gate, and what to do when that does not work out. An
+// answer of a backend server is delivered as it is. Anything else is answered
+// at once: a refusal when the request has certainly not run, with a time to
+// come back; "unknown" when it may have.
+#ifndef FIREFLYSPAR_PROXY_ROUTER_H_
+#define FIREFLYSPAR_PROXY_ROUTER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "backend_servers/connection_pool.h"
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "decisions/gate_choice.h"
+#include "decisions/repeat_budget.h"
+#include "decisions/route_index.h"
+#include "decisions/server_directory.h"
+#include "proxy/gate.h"
+#include "proxy/header_names.h"
+#include "proxy/listener.h"
+#include "proxy/rollouts.h"
+
+namespace fireflyspar::proxy {
+
+struct router_options {
+  net::any_io_executor executor;
+  std::string instance;
+  std::string data_centre;
+  header_names headers;
+  base::metrics* metrics = nullptr;
+  base::event_log* log = nullptr;
+  base::random_hook random;
+  gate* local_gate = nullptr;
+  const decisions::server_directory* directory = nullptr;
+  rollouts* trials = nullptr;
+  decisions::repeat_budget_options budget;
+  // The service of the backend server beside this proxy.
+  std::function<std::string()> own_service;
+};
+
+class router {
+ public:
+  explicit router(router_options options);
+
+  // Takes over a configuration with a higher version than the one in force.
+  void SetConfiguration(config::mesh_configuration_ptr next);
+
+  // Null before there is one.
+  const config::mesh_configuration* Configuration() const {
+    return routes_ ? &routes_->Configuration() : nullptr;
+  }
+
+  net::awaitable<backend_servers::http_response> Route(served_call& call);
+
+  // Tells that the set of servers changed.
+  void OnDirectoryChange();
+
+ private:
+  // A request under way.
+  struct journey {
+    served_call* call = nullptr;
+    std::shared_ptr<const decisions::route_index> routes;
+    const config::mesh_route* route = nullptr;
+    std::string service;
+    std::string request_id;
+    base::steady_instant begun;
+    base::steady_instant deadline;  // Of the caller or of the route.
+    bool is_call = false;
+    std::set<std::string, std::less<>> ran_on;   // Instances that got it.
+    std::set<std::string, std::less<>> refused;  // Said "not run" in this try.
+    base::duration least_wait{};  // The best of their estimates; zero: none.
+    int probes = 0;
+    int runs = 0;
+  };
+
+  // A gate to offer the request to.
+  struct target {
+    const decisions::server_entry* entry = nullptr;
+    bool is_expected_free = true;
+  };
+
+  net::awaitable<gate_outcome> RunSomewhere(journey& trip);
+  net::awaitable<gate_outcome> OfferUntilTaken(journey& trip);
+  net::awaitable<gate_outcome> Offer(journey& trip, const target& to,
+                                     bool may_wait);
+  net::awaitable<gate_outcome> OfferToRemote(journey& trip,
+                                             const decisions::server_entry& to,
+                                             const call_offer& offer);
+  target ChooseGate(const journey& trip, bool may_choose_refused);
+  bool MayRepeat(const journey& trip, const gate_outcome& outcome);
+  void Learn(const journey& trip, const decisions::server_entry& to,
+             const gate_outcome& outcome);
+  base::duration Typical(const journey& trip) const;
+  backend_servers::http_response Answer(const journey& trip,
+                                        gate_outcome outcome);
+  backend_servers::http_response Refuse(const served_call& call,
+                                        base::error_kind reason,
+                                        std::string_view detail);
+  void LogAnswer(const journey& trip, const gate_outcome& outcome,
+                 unsigned status);
+
+  router_options options_;
+  backend_servers::connection_pool pool_;
+  std::shared_ptr<const decisions::route_index> routes_;
+  decisions::target_sharing sharing_;
+  decisions::gate_choice choice_;
+  decisions::repeat_budget budget_;
+  std::map<std::string, base::duration, std::less<>> typical_;  // By route.
+  std::map<std::string, std::string, std::less<>>
+      servers_seen_;  // By instance.
+};
+
+}  // namespace fireflyspar::proxy
+
+#endif  // FIREFLYSPAR_PROXY_ROUTER_H_
