--- a/src/decisions/repeat_budget.h
+++ b/src/decisions/repeat_budget.h
@@ -20,7 +20,7 @@
   base::duration window = std::chrono::seconds(10);
   // Part of the bound that is spent; the rest is for repeats that no proxy
   // sees as such, like the calls that a repeated request makes again.
-  double spent_part = 0.5;
+  double spent_part = 0.6;
 
   bool operator==(const repeat_budget_options&) const = default;
 };
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -277,11 +277,15 @@
   if (ended.answer.result_int() == kMisdirected) {
     is_misaddressed_ = true;
     Apply();
-    co_return NotRun(error_kind::kNoServer, "another server has the address");
+    gate_outcome misdirected =
+        NotRun(error_kind::kNoServer, "another server has the address");
+    misdirected.has_reached_server = true;
+    co_return misdirected;
   }
   if (!HeaderOf(ended.answer, names.not_run).empty()) {
     gate_outcome refused = NotRun(error_kind::kShed, "the server refused it");
     refused.wait = offer.typical;
+    refused.has_reached_server = true;
     co_return refused;
   }
   gate_outcome answered;
--- a/src/proxy/gate_messages.cc
+++ b/src/proxy/gate_messages.cc
@@ -175,6 +175,7 @@
   word_writer words;
   words.Add(EndName(outcome.end));
   words.Add(base::AnswerFor(outcome.reason).name).Add(outcome.wait);
+  words.Add(outcome.has_reached_server);
   message.set(kOutcomeHeader, std::move(words).Text());
   if (outcome.status) message.set(kStatusHeader, ToText(*outcome.status));
   return message;
@@ -188,6 +189,7 @@
   outcome.end = EndNamed(words.Word());
   outcome.reason = KindNamed(words.Word());
   outcome.wait = words.Span();
+  outcome.has_reached_server = words.Number() != 0;
   if (!words.Ok()) {
     return Unknown(base::error_kind::kMalformedMessage,
                    "the gate's answer tells no outcome");
--- a/src/proxy/gate_messages.h
+++ b/src/proxy/gate_messages.h
@@ -66,6 +66,9 @@
   base::duration wait{};  // For kNotRun: until a slot may be free.
   std::string detail;
   bool is_unreachable = false;  // No gate was reached.
+  // For kNotRun: the backend server itself refused it, so that offering it
+  // again is a repeat in the server's eyes.
+  bool has_reached_server = false;
   std::optional<gate_status> status;
 };
 
--- a/src/proxy/object_follower.cc
+++ b/src/proxy/object_follower.cc
@@ -52,10 +52,13 @@
   const auto heard =
       co_await options_.store->watch(options_.kind, revision_, kWatchWait);
   if (!heard) {
-    if (heard.Failure().Kind() == error_kind::kHistoryGone) co_return false;
-    const base::duration pause = Disconnected(heard.Failure());
-    co_await Pause(pause);
-    co_return true;
+    // A watch that was cut may have missed changes, and one from the same
+    // revision may never hear of them.
+    if (heard.Failure().Kind() != error_kind::kHistoryGone) {
+      const base::duration pause = Disconnected(heard.Failure());
+      co_await Pause(pause);
+    }
+    co_return false;
   }
   Connected();
   revision_ = std::max(revision_, heard->revision);
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -238,7 +238,12 @@
                             : std::min(trip.least_wait, outcome.wait);
     }
     last = std::move(outcome);
-    if (is_full && may_wait) break;
+    if (last.has_reached_server) {
+      // The server counts the next offer as a repeat of this one.
+      if (!budget_.TryTake(trip.service, steady::now())) break;
+    } else if (is_full && may_wait) {
+      break;
+    }
   }
   co_return last;
 }
--- /dev/null
+++ b/tests/adapter/documents_test.cc
@@ -0,0 +1,131 @@
+#include "platform/documents.h"
+
+#include <catch2/catch.hpp>
+
+namespace fireflyspar::platform {
+namespace {
+
+using nlohmann::json;
+
+json Route() {
+  return {{"name", "r-1"},       {"host", "a.example"},
+          {"path_prefix", "/p/"}, {"kind", "unsafe"},
+          {"timeout", "1000ms"}, {"slo", "0.5s"},
+          {"priority", 1},       {"service", "stock"},
+          {"attempts", 2}};
+}
+
+json Configuration() {
+  return {{"version", "r7"},
+          {"routes", json::array({Route()})},
+          {"services",
+           json::array({{{"name", "stock"},
+                         {"health_path", "/healthz"},
+                         {"max_conns", 120}}})},
+          {"limits",
+           {{"header_bytes", 16384},
+            {"body_bytes", 1000},
+            {"header_timeout", "3000ms"},
+            {"idle_timeout", "15000ms"}}}};
+}
+
+const char kHeartbeat[] =
+    R"({"address":"10.0.0.9:8080","born":1790000000000,)"
+    R"("info":{"service":"stock","version":"v1","zone":"z","slots":6},)"
+    R"("status":{"state":"ready","seq":4,"cold_left":"1500ms"}})";
+
+TEST_CASE("a configuration is decoded into plain fields") {
+  const auto decoded = DecodeConfiguration(Configuration());
+  REQUIRE(decoded);
+  CHECK(decoded->version == 7);
+  REQUIRE(decoded->routes.size() == 1);
+  const config::mesh_route& route = decoded->routes.front();
+  CHECK_FALSE(route.is_idempotent);
+  CHECK(route.timeout == std::chrono::seconds(1));
+  CHECK(route.objective == std::chrono::milliseconds(500));
+  CHECK(route.max_attempts == 2);
+  CHECK(decoded->limits.body_bytes == 1000);
+}
+
+TEST_CASE("a split route has a target for each part") {
+  json document = Configuration();
+  document["routes"][0].erase("service");
+  document["routes"][0]["traffic_split"] = {
+      {{"service", "stock"}, {"weight", 90}},
+      {{"service", "stock"}, {"weight", 10}}};
+  const auto decoded = DecodeConfiguration(document);
+  REQUIRE(decoded);
+  CHECK(decoded->routes.front().targets.size() == 2);
+  CHECK(decoded->routes.front().targets[1].weight == 10);
+}
+
+TEST_CASE("a configuration that names an unknown service is refused") {
+  json document = Configuration();
+  document["routes"][0]["service"] = "nobody";
+  const auto decoded = DecodeConfiguration(document);
+  REQUIRE_FALSE(decoded);
+  CHECK(decoded.Failure().detail.find("nobody") != std::string::npos);
+}
+
+TEST_CASE("all faults of a configuration are named at once") {
+  json document = Configuration();
+  document["version"] = "seven";
+  document["routes"][0].erase("host");
+  const auto decoded = DecodeConfiguration(document);
+  REQUIRE_FALSE(decoded);
+  CHECK(decoded.Failure().detail.find("seven") != std::string::npos);
+  CHECK(decoded.Failure().detail.find("host is missing") != std::string::npos);
+}
+
+TEST_CASE("a heartbeat is decoded") {
+  const auto report = DecodeHeartbeat("i-1", kHeartbeat);
+  REQUIRE(report);
+  CHECK(report->server.id == "i-1");
+  CHECK(report->server.slots == 6);
+  CHECK(report->server.born_ms == 1790000000000);
+  CHECK(report->sequence == 4);
+  CHECK(report->cold_left == std::chrono::milliseconds(1500));
+}
+
+TEST_CASE("a heartbeat with a state that nobody knows names no server") {
+  std::string body = kHeartbeat;
+  body.replace(body.find("ready"), 5, "weird");
+  CHECK_FALSE(DecodeHeartbeat("i-1", body));
+}
+
+TEST_CASE("a heartbeat that lacks a field names no server") {
+  json body = json::parse(kHeartbeat);
+  body["info"].erase("slots");
+  CHECK_FALSE(DecodeHeartbeat("i-1", body.dump()));
+}
+
+TEST_CASE("bytes that are no JSON name no server") {
+  CHECK_FALSE(DecodeHeartbeat("i-1", "\x01{"));
+}
+
+TEST_CASE("a rollout without a status is new") {
+  proxy::stored_object object{.name = "stock", .revision = 3, .created = 3};
+  object.content = {
+      {"service", "stock"}, {"target_version", "v2"}, {"period", "12s"}};
+  const auto decoded = DecodeRollout(object);
+  REQUIRE(decoded);
+  CHECK_FALSE(decoded->has_state);
+  CHECK(decoded->order.period == std::chrono::seconds(12));
+}
+
+TEST_CASE("a rollout's state survives its way through the store") {
+  proxy::stored_object object{.name = "stock", .revision = 3, .created = 3};
+  object.content = {
+      {"service", "stock"}, {"target_version", "v2"}, {"period", "12s"}};
+  auto order = DecodeRollout(object)->order;
+  order.state = decisions::trial_state::kRolledBack;
+  object.status = EncodeRolloutState(order, 99);
+  const auto decoded = DecodeRollout(object);
+  REQUIRE(decoded);
+  CHECK(decoded->has_state);
+  CHECK(decoded->order.state == decisions::trial_state::kRolledBack);
+  CHECK(decoded->began_ms == 99);
+}
+
+}  // namespace
+}  // namespace fireflyspar::platform
--- /dev/null
+++ b/tests/proxy/object_follower_test.cc
@@ -0,0 +1,109 @@
+#include "proxy/object_follower.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <deque>
+
+namespace fireflyspar::proxy {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A store whose watches end as a test wants them to, one after the other.
+struct scripted_store {
+  scripted_store()
+      : hooks({.list = [this](std::string) { return List(); },
+               .watch = [this](std::string, std::uint64_t revision,
+                               milliseconds) { return Watch(revision); }}) {}
+
+  async_result<object_list> List() {
+    ++lists;
+    object_list listed{.objects = objects, .revision = revision};
+    co_return listed;
+  }
+
+  async_result<object_changes> Watch(std::uint64_t from) {
+    watched.push_back(from);
+    if (watch_ends.empty()) {
+      net::steady_timer silent(loop, std::chrono::hours(1));
+      boost::system::error_code ignored;
+      co_await silent.async_wait(
+          net::redirect_error(net::use_awaitable, ignored));
+    }
+    base::result<object_changes> end = watch_ends.front();
+    watch_ends.pop_front();
+    co_return end;
+  }
+
+  // Runs the follower for a while.
+  void Follow(milliseconds span) {
+    net::co_spawn(loop, follower.Run(), net::detached);
+    loop.run_for(span);
+  }
+
+  net::io_context loop;
+  object_store hooks;
+  std::vector<stored_object> objects;
+  std::uint64_t revision = 1;
+  std::deque<base::result<object_changes>> watch_ends;
+  int lists = 0;
+  std::vector<std::uint64_t> watched;
+  std::vector<std::string> seen;
+  base::event_log log{{.write = [](std::string_view bytes) {
+                         return bytes.size();
+                       },
+                       .clock = base::SystemClock()}};
+  object_follower follower{{.executor = loop.get_executor(),
+                            .kind = "things",
+                            .store = &hooks,
+                            .log = &log,
+                            .random = base::SeededRandom(1),
+                            .gather = milliseconds(1),
+                            .on_list =
+                                [this](std::span<const stored_object> all) {
+                                  for (const auto& each : all) {
+                                    seen.push_back(each.name);
+                                  }
+                                },
+                            .on_change =
+                                [this](const object_change& change) {
+                                  seen.push_back(change.object.name);
+                                }}};
+};
+
+TEST_CASE("a follower watches on from the revision of the last change") {
+  scripted_store store;
+  store.watch_ends.push_back(object_changes{
+      .changes = {{.object = {.name = "a"}}}, .revision = 7});
+  store.Follow(milliseconds(100));
+  CHECK(store.lists == 1);
+  CHECK(store.watched == std::vector<std::uint64_t>{1, 7});
+  CHECK(store.seen == std::vector<std::string>{"a"});
+}
+
+// The pattern: a store stops telling its watches what changes, then cuts them.
+// Watching on from the old revision would hear nothing of what was missed.
+TEST_CASE("a follower lists again after its watch was cut") {
+  scripted_store store;
+  store.watch_ends.push_back(
+      base::Fail(base::error_kind::kPlatformUnavailable, "reset"));
+  store.Follow(milliseconds(500));
+  CHECK(store.lists == 2);
+}
+
+TEST_CASE("a follower lists again when the history is gone") {
+  scripted_store store;
+  store.watch_ends.push_back(
+      base::Fail(base::error_kind::kHistoryGone, "410"));
+  store.Follow(milliseconds(500));
+  CHECK(store.lists == 2);
+}
+
+}  // namespace
+}  // namespace fireflyspar::proxy
