Probe the store and begin anew when it is back; tests of the follower and the documents

Ruled out: keep-alive probes (the store's system answers them), a shorter watch (costs a call for each kind and process every few seconds). One cheap probe a second now finds the outage; its end restarts all lists, and nobody calls meanwhile.

--- a/src/app/entry_publisher.h
+++ b/src/app/entry_publisher.h
@@ -37,6 +37,9 @@
   // What the store says; nothing when the entry does not exist.
   void OnStored(const std::optional<proxy::stored_object>& stored);
 
+  // Tries at once what could not be written so far.
+  void Retry() { changed_.cancel(); }
+
   net::awaitable<void> Run();
 
   // Takes the entry away, for a server that is gone for good. Tried once.
--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -21,6 +21,7 @@
 #include "proxy/object_follower.h"
 #include "proxy/rollouts.h"
 #include "proxy/router.h"
+#include "proxy/store_watchdog.h"
 
 namespace fireflyspar::app {
 namespace {
@@ -84,6 +85,7 @@
                                            milliseconds gather);
   void MakeListeners();
   void MakeFollowers();
+  proxy::store_watchdog_options WatchdogOptions();
 
   net::awaitable<http_response> OnGateCall(proxy::served_call& call);
   net::awaitable<http_response> OnServerCall(proxy::served_call& call);
@@ -125,6 +127,7 @@
   std::vector<std::unique_ptr<proxy::listener>> listeners_;
   proxy::listener* callers_ = nullptr;
   std::vector<std::unique_ptr<proxy::object_follower>> followers_;
+  proxy::store_watchdog watchdog_;
   std::string rejected_;  // The configuration that was refused last.
 };
 
@@ -149,7 +152,8 @@
                   .log = &log_,
                   .random = random_,
                   .kind = adapter_.names.entry_kind,
-                  .instance = settings_.instance}) {
+                  .instance = settings_.instance}),
+      watchdog_(WatchdogOptions()) {
   MakeListeners();
   MakeFollowers();
 }
@@ -264,6 +268,22 @@
   }
 }
 
+proxy::store_watchdog_options proxy_process::WatchdogOptions() {
+  return {.executor = executor_,
+          .store = &store_,
+          .log = &log_,
+          .random = random_,
+          .on_lost =
+              [this] {
+                for (const auto& each : followers_) each->Suspend();
+              },
+          .on_regained =
+              [this] {
+                for (const auto& each : followers_) each->Restart();
+                publisher_.Retry();
+              }};
+}
+
 base::status proxy_process::Start() {
   for (const auto& each : listeners_) {
     if (const auto started = each->Start(); !started) return started;
@@ -272,6 +292,7 @@
     net::co_spawn(executor_, each->Run(), net::detached);
   }
   net::co_spawn(executor_, publisher_.Run(), net::detached);
+  net::co_spawn(executor_, watchdog_.Run(), net::detached);
   net::co_spawn(executor_, Tick(), net::detached);
   net::co_spawn(executor_, HandleSignals(), net::detached);
   log_.Write(event_weight::kState, "started",
--- a/src/proxy/object_follower.cc
+++ b/src/proxy/object_follower.cc
@@ -2,14 +2,12 @@
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace fireflyspar::proxy {
 namespace {
 
 using base::error_kind;
-using base::event_weight;
 using std::chrono::milliseconds;
 
 // The longest wait of one watch.
@@ -24,23 +22,39 @@
 // A store that says it has too many calls is left alone for longer.
 constexpr int kOverRateFactor = 2;
 
+// While suspended; ended by Restart.
+constexpr std::chrono::hours kSuspension{1};
+
 }  // namespace
 
 net::awaitable<void> object_follower::Run() {
   for (;;) {
+    while (is_suspended_) co_await Pause(kSuspension);
     bool is_following = co_await List();
     while (is_following) is_following = co_await Watch();
   }
 }
 
+void object_follower::Suspend() {
+  is_suspended_ = true;
+  if (watch_) watch_->Cancel();
+}
+
+void object_follower::Restart() {
+  is_suspended_ = false;
+  failures_in_row_ = 0;
+  if (watch_) watch_->Cancel();
+  pause_.cancel();
+}
+
 net::awaitable<bool> object_follower::List() {
   const auto listed = co_await options_.store->list(options_.kind);
   if (!listed) {
-    const base::duration pause = Disconnected(listed.Failure());
+    const base::duration pause = RetryPause(listed.Failure());
     co_await Pause(pause);
     co_return false;
   }
-  Connected();
+  failures_in_row_ = 0;
   revision_ = listed->revision;
   has_list_ = true;
   options_.on_list(listed->objects);
@@ -49,47 +63,35 @@
 
 // False when the objects have to be listed again.
 net::awaitable<bool> object_follower::Watch() {
-  const auto heard =
-      co_await options_.store->watch(options_.kind, revision_, kWatchWait);
+  watch_ = std::make_shared<backend_servers::cancellation>();
+  const auto watch = watch_;
+  const auto heard = co_await options_.store->watch(options_.kind, revision_,
+                                                    kWatchWait, *watch);
+  watch_ = nullptr;
+  if (watch->IsCancelled()) co_return false;
   if (!heard) {
     // A watch that was cut may have missed changes, and one from the same
     // revision may never hear of them.
     if (heard.Failure().Kind() != error_kind::kHistoryGone) {
-      const base::duration pause = Disconnected(heard.Failure());
+      const base::duration pause = RetryPause(heard.Failure());
       co_await Pause(pause);
     }
     co_return false;
   }
-  Connected();
+  failures_in_row_ = 0;
   revision_ = std::max(revision_, heard->revision);
   for (const object_change& each : heard->changes) options_.on_change(each);
   if (!heard->changes.empty()) co_await Pause(options_.gather);
-  co_return true;
+  co_return !is_suspended_;
 }
 
 net::awaitable<void> object_follower::Pause(base::duration span) {
-  net::steady_timer timer(options_.executor, span);
+  pause_.expires_after(span);
   boost::system::error_code ignored;
-  co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
-}
-
-void object_follower::Connected() {
-  failures_in_row_ = 0;
-  if (is_connected_) return;
-  is_connected_ = true;
-  options_.log->Write(event_weight::kState, "store_regained",
-                      {{"kind", options_.kind}});
+  co_await pause_.async_wait(net::redirect_error(net::use_awaitable, ignored));
 }
 
-base::duration object_follower::Disconnected(const base::failure& failure) {
-  if (is_connected_) {
-    is_connected_ = false;
-    options_.log->Write(
-        event_weight::kState, "store_lost",
-        {{"kind", options_.kind},
-         {"reason", std::string(base::AnswerFor(failure.Kind()).name)},
-         {"detail", failure.detail}});
-  }
+base::duration object_follower::RetryPause(const base::failure& failure) {
   base::duration longest = std::min<base::duration>(
       kFirstRetry * (1 << std::min(failures_in_row_, kMostDoublings)),
       kLongestRetry);
--- a/src/proxy/object_follower.h
+++ b/src/proxy/object_follower.h
@@ -4,6 +4,7 @@
 #ifndef FIREFLYSPAR_PROXY_OBJECT_FOLLOWER_H_
 #define FIREFLYSPAR_PROXY_OBJECT_FOLLOWER_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <span>
 #include <string>
@@ -30,28 +31,32 @@
 class object_follower {
  public:
   explicit object_follower(object_follower_options options)
-      : options_(std::move(options)) {}
+      : options_(std::move(options)), pause_(options_.executor) {}
 
   // Runs until the executor's context ends.
   net::awaitable<void> Run();
 
+  // Breaks off what is waited for and waits for Restart.
+  void Suspend();
+
+  // Begins anew with a list.
+  void Restart();
+
   // Whether a list has been read since the process started.
   bool HasList() const { return has_list_; }
 
-  // Whether the last call to the store was answered.
-  bool IsConnected() const { return is_connected_; }
-
  private:
   net::awaitable<bool> List();
   net::awaitable<bool> Watch();
   net::awaitable<void> Pause(base::duration span);
-  void Connected();
-  base::duration Disconnected(const base::failure& failure);
+  base::duration RetryPause(const base::failure& failure);
 
   object_follower_options options_;
+  net::steady_timer pause_;
+  std::shared_ptr<backend_servers::cancellation> watch_;
   std::uint64_t revision_ = 0;
   bool has_list_ = false;
-  bool is_connected_ = true;
+  bool is_suspended_ = false;
   int failures_in_row_ = 0;
 };
 
--- a/src/proxy/object_store.h
+++ b/src/proxy/object_store.h
@@ -49,10 +49,15 @@
 // kConflict, kNotFound and, for a watch, kHistoryGone.
 struct object_store {
   std::function<async_result<object_list>(std::string kind)> list;
-  // Waits up to `wait` for a change after `revision`.
+  // Waits up to `wait` for a change after `revision`, or until cancelled.
   std::function<async_result<object_changes>(
-      std::string kind, std::uint64_t revision, std::chrono::milliseconds wait)>
+      std::string kind, std::uint64_t revision, std::chrono::milliseconds wait,
+      backend_servers::cancellation& cancel)>
       watch;
+  // Asks for next to nothing, at the least price there is; fails when the store
+  // does not serve this process within the time.
+  std::function<async_result<base::nothing>(std::chrono::milliseconds timeout)>
+      probe;
   std::function<async_result<stored_object>(std::string kind, std::string name)>
       get;
   // With the object's revision 0: makes it, and fails when it exists already.
--- /dev/null
+++ b/src/proxy/store_watchdog.cc
@@ -0,0 +1,53 @@
+#include "proxy/store_watchdog.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace fireflyspar::proxy {
+namespace {
+
+// One lost answer is no outage.
+constexpr int kFailuresToLose = 2;
+
+}  // namespace
+
+net::awaitable<void> store_watchdog::Run() {
+  net::steady_timer timer(options_.executor);
+  for (;;) {
+    const bool is_well = failures_in_row_ == 0;
+    const auto interval = is_well ? options_.interval : options_.retry_interval;
+    const auto timeout = is_well ? options_.timeout : options_.retry_timeout;
+    // Between half and one and a half of the interval, so that processes that
+    // started together don't probe together.
+    const double factor = 0.5 + base::Unit(options_.random());
+    timer.expires_after(base::duration(static_cast<std::int64_t>(
+        static_cast<double>(base::duration(interval).count()) * factor)));
+    boost::system::error_code ignored;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    const auto answer = co_await options_.store->probe(timeout);
+    OnAnswer(answer);
+  }
+}
+
+void store_watchdog::OnAnswer(const base::result<base::nothing>& answer) {
+  if (answer) {
+    failures_in_row_ = 0;
+    if (is_available_) return;
+    is_available_ = true;
+    options_.log->Write(base::event_weight::kState, "store_regained", {});
+    options_.on_regained();
+    return;
+  }
+  ++failures_in_row_;
+  if (!is_available_ || failures_in_row_ < kFailuresToLose) return;
+  is_available_ = false;
+  const base::failure& failure = answer.Failure();
+  options_.log->Write(
+      base::event_weight::kState, "store_lost",
+      {{"reason", std::string(base::AnswerFor(failure.Kind()).name)},
+       {"detail", failure.detail}});
+  options_.on_lost();
+}
+
+}  // namespace fireflyspar::proxy
--- /dev/null
+++ b/src/proxy/store_watchdog.h
@@ -0,0 +1,49 @@
+// Finds out whether the store serves this process. A watch that waits looks the
+// same whether nothing changes or the store has gone silent, and one that was
+// begun before an outage may never be answered after it. So the store is probed
+// at the least price; when it comes back, everything that follows it is told to
+// begin anew, and while it is away nobody else calls it.
+#ifndef FIREFLYSPAR_PROXY_STORE_WATCHDOG_H_
+#define FIREFLYSPAR_PROXY_STORE_WATCHDOG_H_
+
+#include <functional>
+
+#include "base/event_log.h"
+#include "proxy/object_store.h"
+
+namespace fireflyspar::proxy {
+
+struct store_watchdog_options {
+  net::any_io_executor executor;
+  const object_store* store = nullptr;
+  base::event_log* log = nullptr;
+  base::random_hook random;
+  std::chrono::milliseconds interval{1000};
+  std::chrono::milliseconds timeout{1000};
+  // The same while the store is away.
+  std::chrono::milliseconds retry_interval{300};
+  std::chrono::milliseconds retry_timeout{600};
+  std::function<void()> on_lost;
+  std::function<void()> on_regained;
+};
+
+class store_watchdog {
+ public:
+  explicit store_watchdog(store_watchdog_options options)
+      : options_(std::move(options)) {}
+
+  net::awaitable<void> Run();
+
+  bool IsAvailable() const { return is_available_; }
+
+ private:
+  void OnAnswer(const base::result<base::nothing>& answer);
+
+  store_watchdog_options options_;
+  bool is_available_ = true;
+  int failures_in_row_ = 0;
+};
+
+}  // namespace fireflyspar::proxy
+
+#endif  // FIREFLYSPAR_PROXY_STORE_WATCHDOG_H_
--- a/tests/adapter/documents_test.cc
+++ b/tests/adapter/documents_test.cc
@@ -8,20 +8,17 @@
 using nlohmann::json;
 
 json Route() {
-  return {{"name", "r-1"},       {"host", "a.example"},
-          {"path_prefix", "/p/"}, {"kind", "unsafe"},
-          {"timeout", "1000ms"}, {"slo", "0.5s"},
-          {"priority", 1},       {"service", "stock"},
-          {"attempts", 2}};
+  return {{"name", "r-1"},    {"host", "a.example"}, {"path_prefix", "/p/"},
+          {"kind", "unsafe"}, {"timeout", "1000ms"}, {"slo", "0.5s"},
+          {"priority", 1},    {"service", "stock"},  {"attempts", 2}};
 }
 
 json Configuration() {
   return {{"version", "r7"},
           {"routes", json::array({Route()})},
-          {"services",
-           json::array({{{"name", "stock"},
-                         {"health_path", "/healthz"},
-                         {"max_conns", 120}}})},
+          {"services", json::array({{{"name", "stock"},
+                                     {"health_path", "/healthz"},
+                                     {"max_conns", 120}}})},
           {"limits",
            {{"header_bytes", 16384},
             {"body_bytes", 1000},
--- a/tests/proxy/object_follower_test.cc
+++ b/tests/proxy/object_follower_test.cc
@@ -19,8 +19,11 @@
 struct scripted_store {
   scripted_store()
       : hooks({.list = [this](std::string) { return List(); },
-               .watch = [this](std::string, std::uint64_t revision,
-                               milliseconds) { return Watch(revision); }}) {}
+               .watch =
+                   [this](std::string, std::uint64_t revision, milliseconds,
+                          backend_servers::cancellation&) {
+                     return Watch(revision);
+                   }}) {}
 
   async_result<object_list> List() {
     ++lists;
@@ -55,10 +58,9 @@
   int lists = 0;
   std::vector<std::uint64_t> watched;
   std::vector<std::string> seen;
-  base::event_log log{{.write = [](std::string_view bytes) {
-                         return bytes.size();
-                       },
-                       .clock = base::SystemClock()}};
+  base::event_log log{
+      {.write = [](std::string_view bytes) { return bytes.size(); },
+       .clock = base::SystemClock()}};
   object_follower follower{{.executor = loop.get_executor(),
                             .kind = "things",
                             .store = &hooks,
@@ -79,8 +81,8 @@
 
 TEST_CASE("a follower watches on from the revision of the last change") {
   scripted_store store;
-  store.watch_ends.push_back(object_changes{
-      .changes = {{.object = {.name = "a"}}}, .revision = 7});
+  store.watch_ends.push_back(
+      object_changes{.changes = {{.object = {.name = "a"}}}, .revision = 7});
   store.Follow(milliseconds(100));
   CHECK(store.lists == 1);
   CHECK(store.watched == std::vector<std::uint64_t>{1, 7});
@@ -99,8 +101,7 @@
 
 TEST_CASE("a follower lists again when the history is gone") {
   scripted_store store;
-  store.watch_ends.push_back(
-      base::Fail(base::error_kind::kHistoryGone, "410"));
+  store.watch_ends.push_back(base::Fail(base::error_kind::kHistoryGone, "410"));
   store.Follow(milliseconds(500));
   CHECK(store.lists == 2);
 }
