--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -527,6 +527,7 @@
       begun + kServeAfterSignal - steady::now());
   co_await Pause(left);
   gate_.Close();
+  router_.Finish();
   constexpr milliseconds kPoll{20};
   const auto is_busy = [this] {
     return callers_->Active() > 0 || gate_.Running() > 0;
--- a/src/decisions/ranked_admission.cc
+++ b/src/decisions/ranked_admission.cc
@@ -1,6 +1,7 @@
 #include "decisions/ranked_admission.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace fireflyspar::decisions {
 namespace {
@@ -8,8 +9,12 @@
 // Weight of one answer in the smoothed time at the server: an eighth.
 constexpr int kSmoothing = 8;
 
-// Part of its typical time that a request must still have when it starts.
-constexpr int kLeastPartOfTypical = 2;  // A half.
+// Smoothing of how much longer waits are than expected: weight of one wait.
+constexpr double kStretchWeight = 0.1;
+constexpr double kMostStretch = 20;
+
+// Shorter waits tell nothing of it.
+constexpr std::chrono::milliseconds kLeastWaitToLearn{5};
 
 admission_result Refuse(base::error_kind reason, base::duration wait) {
   return {.choice = admission_choice::kRefuse, .reason = reason, .wait = wait};
@@ -35,7 +40,23 @@
     const admission_claim& claim) const {
   const auto ahead = std::distance(queue_.begin(), queue_.lower_bound(claim));
   const base::duration each = typical_.count() > 0 ? typical_ : claim.typical;
-  return each * (ahead + 1) / std::max(1, slots_);
+  const base::duration plain = each * (ahead + 1) / std::max(1, slots_);
+  const auto stretch = stretch_.find({claim.is_call, claim.rank});
+  if (stretch == stretch_.end()) return plain;
+  return base::duration(static_cast<std::int64_t>(
+      static_cast<double>(plain.count()) * stretch->second));
+}
+
+void ranked_admission::LearnWait(const admission_claim& claim,
+                                 base::steady_instant now) {
+  if (claim.expected_wait < kLeastWaitToLearn) return;
+  double& stretch =
+      stretch_.try_emplace({claim.is_call, claim.rank}, 1.0).first->second;
+  const double ratio = std::chrono::duration<double>(now - claim.entered) /
+                       std::chrono::duration<double>(claim.expected_wait);
+  // The expectation held the stretch of then, so the two are multiplied.
+  stretch *= 1 + kStretchWeight * (std::min(ratio, kMostStretch) - 1);
+  stretch = std::clamp(stretch, 1.0, kMostStretch);
 }
 
 admission_result ranked_admission::Enter(const admission_claim& claim,
@@ -53,7 +74,10 @@
   if (now + wait + claim.typical > LatestEnd(claim, now)) {
     return Refuse(base::error_kind::kShed, wait);
   }
-  queue_.insert(claim);
+  admission_claim waiting = claim;
+  waiting.entered = now;
+  waiting.expected_wait = wait;
+  queue_.insert(waiting);
   return {.choice = admission_choice::kWait, .wait = wait};
 }
 
@@ -78,14 +102,15 @@
     return queue_.erase(waiting);
   };
   for (auto each = queue_.begin(); each != queue_.end();) {
-    const bool is_hopeless =
-        now + each->typical / kLeastPartOfTypical > each->deadline;
+    const bool is_hopeless = now + each->typical > each->deadline;
     if (closed_) {
       each = end(each, Refuse(*closed_, {}));
     } else if (is_hopeless) {
+      LearnWait(*each, now);
       each = end(each, Refuse(base::error_kind::kShed, ExpectedWait(*each)));
     } else if (running_ < slots_) {
       ++running_;
+      LearnWait(*each, now);
       each = end(each, {.choice = admission_choice::kRun});
     } else {
       ++each;
--- a/src/decisions/ranked_admission.h
+++ b/src/decisions/ranked_admission.h
@@ -10,9 +10,11 @@
 #define FIREFLYSPAR_DECISIONS_RANKED_ADMISSION_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "base/error.h"
@@ -28,6 +30,9 @@
   base::duration typical{};  // Expected time at the server.
   base::steady_instant objective;  // An answer after this is late.
   base::steady_instant deadline;   // Nobody waits for an answer after this.
+  // Filled in when it begins to wait.
+  base::steady_instant entered;
+  base::duration expected_wait{};
 };
 
 enum class admission_choice { kRun, kWait, kRefuse };
@@ -71,6 +76,9 @@
   int Slots() const { return slots_; }
 
  private:
+  // Claims of the same urgency; more urgent ones come before them.
+  using urgency = std::pair<bool, int>;
+
   struct by_urgency {
     bool operator()(const admission_claim& left,
                     const admission_claim& right) const {
@@ -83,12 +91,17 @@
   };
 
   base::duration ExpectedWait(const admission_claim& claim) const;
+  void LearnWait(const admission_claim& claim, base::steady_instant now);
 
   std::optional<base::error_kind> closed_ = base::error_kind::kNoServer;
   int slots_ = 0;
   int running_ = 0;
   base::duration typical_{};  // Smoothed time at the server.
   std::set<admission_claim, by_urgency> queue_;
+
+  // How much longer claims of one urgency wait than the queue ahead of them
+  // lets expect, because of more urgent ones that come later.
+  std::map<urgency, double> stretch_;
 };
 
 }  // namespace fireflyspar::decisions
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -224,7 +224,7 @@
     co_return outcome;
   }
   const auto sent = steady::now();
-  outcome = co_await Send(offer, request, claim.deadline, cancel);
+  outcome = co_await SendAsRunning(offer, request, claim.deadline, cancel);
   const base::duration took = Since(sent);
   admission_.Leave(took);
   Observe(offer, outcome, took);
@@ -234,6 +234,16 @@
   co_return outcome;
 }
 
+net::awaitable<gate_outcome> gate::SendAsRunning(
+    const call_offer& offer, backend_servers::http_request& request,
+    base::steady_instant deadline, backend_servers::cancellation& cancel) {
+  const auto running = running_.emplace(
+      HeaderOf(request, options_.headers.request_id));
+  gate_outcome outcome = co_await Send(offer, request, deadline, cancel);
+  running_.erase(running);
+  co_return outcome;
+}
+
 net::awaitable<gate_outcome> gate::Send(const call_offer& offer,
                                         backend_servers::http_request& request,
                                         base::steady_instant deadline,
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "backend_servers/connection_pool.h"
@@ -69,6 +70,12 @@
   }
   int Running() const { return admission_.Running(); }
 
+  // Whether the server is running a request with that id now. Calls that it
+  // makes meanwhile have ids that begin with it.
+  bool IsRunning(std::string_view request_id) const {
+    return running_.contains(request_id);
+  }
+
  private:
   struct waiter {
     explicit waiter(const net::any_io_executor& executor) : timer(executor) {}
@@ -82,6 +89,9 @@
                                     backend_servers::http_request& request,
                                     base::steady_instant deadline,
                                     backend_servers::cancellation& cancel);
+  net::awaitable<gate_outcome> SendAsRunning(
+      const call_offer& offer, backend_servers::http_request& request,
+      base::steady_instant deadline, backend_servers::cancellation& cancel);
   void GiveTurns();
   void Observe(const call_offer& offer, const gate_outcome& outcome,
                base::duration took);
@@ -96,6 +106,7 @@
   backend_servers::connection_pool pool_;
   decisions::ranked_admission admission_;
   std::map<std::uint64_t, waiter*> waiters_;
+  std::multiset<std::string, std::less<>> running_;  // Ids of requests.
   std::uint64_t last_ticket_ = 0;
 
   std::optional<decisions::server_info> server_;
--- a/src/proxy/listener.cc
+++ b/src/proxy/listener.cc
@@ -241,7 +241,6 @@
     bool stays = parser->get().keep_alive();
     const bool to_head = parser->get().method() == http::verb::head;
     served_call call;
-    call.remote = client->stream.socket().remote_endpoint(error);
     http_response answer = co_await Handle(*client, *parser, is_held, call);
     if (call.cancel->IsCancelled()) {
       --active;
--- a/src/proxy/listener.h
+++ b/src/proxy/listener.h
@@ -20,7 +20,6 @@
 // A request as it came in.
 struct served_call {
   backend_servers::http_request request;
-  backend_servers::tcp::endpoint remote;
   std::shared_ptr<backend_servers::cancellation> cancel;
   // Set when the body has not been sent yet: asks for it and reads it into
   // `request`. False when the peer broke off instead.
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -161,8 +161,10 @@
   const milliseconds allowed =
       asked ? std::min(*asked, trip.route->timeout) : trip.route->timeout;
   trip.deadline = trip.begun + allowed;
-  const std::string own_ip = call.remote.address().to_string();
-  trip.is_call = HeaderOf(call.request, options_.headers.caller_service) != "";
+  trip.is_call = IsCall(trip.request_id);
+  if (is_ending_ && !trip.is_call) {
+    co_return Refuse(call, error_kind::kDraining, "this proxy is ending");
+  }
   backend_servers::DropConnectionHeaders(call.request.base());
   call.request.erase(http::field::expect);
   call.request.prepare_payload();
@@ -171,6 +173,15 @@
   co_return answer;
 }
 
+// A backend server's call has the id of the request that it runs, a dot and
+// some more. That the request runs here and now shows that it is no caller's
+// invention.
+bool router::IsCall(std::string_view request_id) const {
+  const std::size_t dot = request_id.rfind('.');
+  return dot != std::string_view::npos &&
+         options_.local_gate->IsRunning(request_id.substr(0, dot));
+}
+
 net::awaitable<gate_outcome> router::RunSomewhere(journey& trip) {
   budget_.OnFirstSend(trip.service, steady::now());
   gate_outcome outcome;
@@ -350,7 +361,8 @@
     choice_.OnReport(to.instance, status.load, now);
     options_.trials->OnStatus(trip.service, trip.route->name, status);
     const bool is_sample =
-        outcome.end == gate_end::kAnswered && !IsServerError(outcome) &&
+        outcome.end == gate_end::kAnswered &&
+        outcome.answer.result_int() < kServerErrors &&
         !options_.trials->IsOnTrial(trip.service, status.version);
     if (is_sample) {
       auto [typical, is_first] =
@@ -416,6 +428,8 @@
   answer.set(options_.headers.request_id, backend_servers::ToBeast(id));
   if (reason == error_kind::kNotReady) {
     SetRetryAfter(answer, kReturnWithoutServer);
+  } else if (reason == error_kind::kDraining) {
+    SetRetryAfter(answer, kReturnSoonest);
   }
   options_.log->Write(
       event_weight::kFailure, "refused",
@@ -456,7 +470,6 @@
        {"route", trip.route->name},
        {"service", trip.service},
        {"is_call", trip.is_call ? "1" : "0"},
-       {"remote", trip.call->remote.address().to_string()},
        {"outcome", std::string(result)},
        {"status", std::to_string(status)},
        {"detail", outcome.detail},
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -57,6 +57,10 @@
 
   net::awaitable<backend_servers::http_response> Route(served_call& call);
 
+  // Refuses callers' requests from now on; the calls of the backend server
+  // beside this proxy, whose requests are still running, go on.
+  void Finish() { is_ending_ = true; }
+
   // Tells that the set of servers changed.
   void OnDirectoryChange();
 
@@ -84,6 +88,7 @@
     bool is_expected_free = true;
   };
 
+  bool IsCall(std::string_view request_id) const;
   net::awaitable<gate_outcome> RunSomewhere(journey& trip);
   net::awaitable<gate_outcome> OfferUntilTaken(journey& trip);
   net::awaitable<gate_outcome> Offer(journey& trip, const target& to,
@@ -105,6 +110,7 @@
                  unsigned status);
 
   router_options options_;
+  bool is_ending_ = false;
   backend_servers::connection_pool pool_;
   std::shared_ptr<const decisions::route_index> routes_;
   decisions::target_sharing sharing_;
