--- a/src/decisions/ranked_admission.cc
+++ b/src/decisions/ranked_admission.cc
@@ -20,13 +20,11 @@
   return {.choice = admission_choice::kRefuse, .reason = reason, .wait = wait};
 }
 
-// Until when the claim is worth waiting for: the objective while it can be met
-// at all, the deadline after that.
-base::steady_instant LatestEnd(const admission_claim& claim,
-                               base::steady_instant now) {
-  const bool can_be_on_time = now + claim.typical <= claim.objective;
-  return can_be_on_time ? std::min(claim.objective, claim.deadline)
-                        : claim.deadline;
+// Until when the claim is worth waiting for: the objective while it can be met,
+// the deadline after that. A call's answer is needed until its deadline.
+base::steady_instant LatestEnd(const admission_claim& claim) {
+  if (claim.is_late || claim.is_call) return claim.deadline;
+  return std::min(claim.objective, claim.deadline);
 }
 
 }  // namespace
@@ -41,7 +39,7 @@
   const auto ahead = std::distance(queue_.begin(), queue_.lower_bound(claim));
   const base::duration each = typical_.count() > 0 ? typical_ : claim.typical;
   const base::duration plain = each * (ahead + 1) / std::max(1, slots_);
-  const auto stretch = stretch_.find({claim.is_call, claim.rank});
+  const auto stretch = stretch_.find(UrgencyOf(claim));
   if (stretch == stretch_.end()) return plain;
   return base::duration(static_cast<std::int64_t>(
       static_cast<double>(plain.count()) * stretch->second));
@@ -51,7 +49,7 @@
                                  base::steady_instant now) {
   if (claim.expected_wait < kLeastWaitToLearn) return;
   double& stretch =
-      stretch_.try_emplace({claim.is_call, claim.rank}, 1.0).first->second;
+      stretch_.try_emplace(UrgencyOf(claim), 1.0).first->second;
   const double ratio = std::chrono::duration<double>(now - claim.entered) /
                        std::chrono::duration<double>(claim.expected_wait);
   // The expectation held the stretch of then, so the two are multiplied.
@@ -69,14 +67,15 @@
     ++running_;
     return {.choice = admission_choice::kRun};
   }
-  const base::duration wait = ExpectedWait(claim);
+  admission_claim waiting = claim;
+  waiting.entered = now;
+  waiting.is_late = now + claim.typical > claim.objective;
+  waiting.expected_wait = ExpectedWait(waiting);
+  const base::duration wait = waiting.expected_wait;
   if (!claim.may_wait) return Refuse(base::error_kind::kShed, wait);
-  if (now + wait + claim.typical > LatestEnd(claim, now)) {
+  if (now + wait + claim.typical > LatestEnd(waiting)) {
     return Refuse(base::error_kind::kShed, wait);
   }
-  admission_claim waiting = claim;
-  waiting.entered = now;
-  waiting.expected_wait = wait;
   queue_.insert(waiting);
   return {.choice = admission_choice::kWait, .wait = wait};
 }
--- a/src/decisions/ranked_admission.h
+++ b/src/decisions/ranked_admission.h
@@ -1,11 +1,11 @@
 // What the gate lets through to the backend server beside it, and in which
 // order. Never more requests run than the server has slots, since some servers
-// stop answering when they are full. The rest wait here by rank: calls that a
-// running server waits for come first, since they hold a slot elsewhere; then
-// more urgent routes; then who came first. Who can't be served in time is
-// refused at once, with an estimate of when to come back, instead of waiting in
-// vain: under overload every slot then works for a request that is still on
-// time.
+// stop answering when they are full. The rest wait here: more urgent routes
+// first; within a rank the calls of running servers, since each of them holds a
+// slot elsewhere; then those that can still be on time; then who came first.
+// Who can't be served in time is refused at once, with an estimate of when to
+// come back, instead of waiting in vain: under overload every slot then works
+// for a request that is still on time.
 #ifndef FIREFLYSPAR_DECISIONS_RANKED_ADMISSION_H_
 #define FIREFLYSPAR_DECISIONS_RANKED_ADMISSION_H_
 
@@ -33,6 +33,7 @@
   // Filled in when it begins to wait.
   base::steady_instant entered;
   base::duration expected_wait{};
+  bool is_late = false;  // It could not be on time even then.
 };
 
 enum class admission_choice { kRun, kWait, kRefuse };
@@ -77,16 +78,19 @@
 
  private:
   // Claims of the same urgency; more urgent ones come before them.
-  using urgency = std::pair<bool, int>;
+  using urgency = std::tuple<int, bool, bool>;
+
+  static urgency UrgencyOf(const admission_claim& claim) {
+    return {claim.rank, !claim.is_call, claim.is_late};
+  }
 
   struct by_urgency {
     bool operator()(const admission_claim& left,
                     const admission_claim& right) const {
       return Key(left) < Key(right);
     }
-    static std::tuple<bool, int, std::uint64_t> Key(
-        const admission_claim& claim) {
-      return {!claim.is_call, claim.rank, claim.ticket};
+    static std::pair<urgency, std::uint64_t> Key(const admission_claim& claim) {
+      return {UrgencyOf(claim), claim.ticket};
     }
   };
 
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -161,6 +161,9 @@
   const milliseconds allowed =
       asked ? std::min(*asked, trip.route->timeout) : trip.route->timeout;
   trip.deadline = trip.begun + allowed;
+  const base::duration spent =
+      asked ? patience_.Spent(trip.route->name, *asked) : base::duration(0);
+  trip.objective = trip.begun + trip.route->objective - spent;
   trip.is_call = IsCall(trip.request_id);
   if (is_ending_ && !trip.is_call) {
     co_return Refuse(call, error_kind::kDraining, "this proxy is ending");
@@ -312,7 +315,7 @@
       .may_wait = may_wait,
       .rank = trip.route->rank,
       .left = left(trip.deadline),
-      .objective_left = left(trip.begun + trip.route->objective),
+      .objective_left = left(trip.objective),
       .typical = Typical(trip)};
   choice_.OnSend(entry.instance);
   gate_outcome outcome;
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -16,6 +16,7 @@
 #include "backend_servers/connection_pool.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "decisions/caller_patience.h"
 #include "decisions/gate_choice.h"
 #include "decisions/repeat_budget.h"
 #include "decisions/route_index.h"
@@ -73,7 +74,8 @@
     std::string service;
     std::string request_id;
     base::steady_instant begun;
-    base::steady_instant deadline;  // Of the caller or of the route.
+    base::steady_instant deadline;   // Of the caller or of the route.
+    base::steady_instant objective;  // An answer after this is late.
     bool is_call = false;
     std::set<std::string, std::less<>> ran_on;   // Instances that got it.
     std::set<std::string, std::less<>> refused;  // Said "not run" in this try.
@@ -117,6 +119,7 @@
   decisions::gate_choice choice_;
   decisions::repeat_budget budget_;
   std::map<std::string, base::duration, std::less<>> typical_;  // By route.
+  decisions::caller_patience patience_;
   std::map<std::string, std::string, std::less<>>
       servers_seen_;  // By instance.
 };
