--- a/src/decisions/caller_patience.h
+++ b/src/decisions/caller_patience.h
@@ -1,7 +1,7 @@
-// How much of its time a caller has spent before this request. Callers that come
-// back after a refusal send what is left of the time they had at first; nobody
-// says how much that was, so it is learnt for each route as the most that
-// callers wait.
+// How much of its time a caller has spent before this request. Callers that
+// come back after a refusal send what is left of the time they had at first;
+// nobody says how much that was, so it is learnt for each route as the most
+// that callers wait.
 #ifndef FIREFLYSPAR_DECISIONS_CALLER_PATIENCE_H_
 #define FIREFLYSPAR_DECISIONS_CALLER_PATIENCE_H_
 
--- a/src/decisions/ranked_admission.cc
+++ b/src/decisions/ranked_admission.cc
@@ -48,8 +48,7 @@
 void ranked_admission::LearnWait(const admission_claim& claim,
                                  base::steady_instant now) {
   if (claim.expected_wait < kLeastWaitToLearn) return;
-  double& stretch =
-      stretch_.try_emplace(UrgencyOf(claim), 1.0).first->second;
+  double& stretch = stretch_.try_emplace(UrgencyOf(claim), 1.0).first->second;
   const double ratio = std::chrono::duration<double>(now - claim.entered) /
                        std::chrono::duration<double>(claim.expected_wait);
   // The expectation held the stretch of then, so the two are multiplied.
--- a/src/decisions/ranked_admission.h
+++ b/src/decisions/ranked_admission.h
@@ -1,11 +1,11 @@
 // What the gate lets through to the backend server beside it, and in which
 // order. Never more requests run than the server has slots, since some servers
-// stop answering when they are full. The rest wait here: more urgent routes
-// first; within a rank the calls of running servers, since each of them holds a
-// slot elsewhere; then those that can still be on time; then who came first.
-// Who can't be served in time is refused at once, with an estimate of when to
-// come back, instead of waiting in vain: under overload every slot then works
-// for a request that is still on time.
+// stop answering when they are full. The rest wait here: first the calls of
+// running servers, since each of them holds a slot elsewhere that would be
+// wasted; then requests that can still be on time; then more urgent routes;
+// then who came first. Who can't be served in time is refused at once, with an
+// estimate of when to come back, instead of waiting in vain: under overload
+// every slot then works for a request that is still on time.
 #ifndef FIREFLYSPAR_DECISIONS_RANKED_ADMISSION_H_
 #define FIREFLYSPAR_DECISIONS_RANKED_ADMISSION_H_
 
@@ -78,10 +78,10 @@
 
  private:
   // Claims of the same urgency; more urgent ones come before them.
-  using urgency = std::tuple<int, bool, bool>;
+  using urgency = std::tuple<bool, bool, int>;
 
   static urgency UrgencyOf(const admission_claim& claim) {
-    return {claim.rank, !claim.is_call, claim.is_late};
+    return {!claim.is_call, claim.is_late, claim.rank};
   }
 
   struct by_urgency {
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -237,8 +237,8 @@
 net::awaitable<gate_outcome> gate::SendAsRunning(
     const call_offer& offer, backend_servers::http_request& request,
     base::steady_instant deadline, backend_servers::cancellation& cancel) {
-  const auto running = running_.emplace(
-      HeaderOf(request, options_.headers.request_id));
+  const auto running =
+      running_.emplace(HeaderOf(request, options_.headers.request_id));
   gate_outcome outcome = co_await Send(offer, request, deadline, cancel);
   running_.erase(running);
   co_return outcome;
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -305,18 +305,17 @@
   const auto left = [now](base::steady_instant until) {
     return std::chrono::duration_cast<base::duration>(until - now);
   };
-  const call_offer offer{
-      .service = entry.server.service,
-      .version = entry.server.version,
-      .route = trip.route->name,
-      .caller_service = options_.own_service(),
-      .is_idempotent = trip.route->is_idempotent,
-      .is_call = trip.is_call,
-      .may_wait = may_wait,
-      .rank = trip.route->rank,
-      .left = left(trip.deadline),
-      .objective_left = left(trip.objective),
-      .typical = Typical(trip)};
+  const call_offer offer{.service = entry.server.service,
+                         .version = entry.server.version,
+                         .route = trip.route->name,
+                         .caller_service = options_.own_service(),
+                         .is_idempotent = trip.route->is_idempotent,
+                         .is_call = trip.is_call,
+                         .may_wait = may_wait,
+                         .rank = trip.route->rank,
+                         .left = left(trip.deadline),
+                         .objective_left = left(trip.objective),
+                         .typical = Typical(trip)};
   choice_.OnSend(entry.instance);
   gate_outcome outcome;
   if (entry.instance == options_.instance) {
