--- /dev/null
+++ b/tests/decisions/gate_choice_test.cc
@@ -0,0 +1,106 @@
+#include "decisions/gate_choice.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <chrono>
+
+namespace fireflyspar::decisions {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::steady_instant kNow{std::chrono::hours(1)};
+constexpr base::duration kTypical = milliseconds(100);
+
+constexpr std::array<gate_candidate, 2> kNearAndFar = {
+    gate_candidate{.instance = "near", .is_near = true, .slots = 6},
+    gate_candidate{.instance = "far", .is_near = false, .slots = 6}};
+
+constexpr std::array<gate_candidate, 2> kTwoNear = {
+    gate_candidate{.instance = "a", .is_near = true, .slots = 6},
+    gate_candidate{.instance = "b", .is_near = true, .slots = 6}};
+
+chosen_gate ChooseFrom(const gate_choice& choice,
+                       std::span<const gate_candidate> candidates,
+                       base::steady_instant now = kNow) {
+  return *choice.Choose(candidates, kTypical, base::SeededRandom(1), now);
+}
+
+TEST_CASE("without any report the own data centre comes first") {
+  CHECK(ChooseFrom(gate_choice(), kNearAndFar).index == 0);
+}
+
+TEST_CASE("a full gate nearby loses to a free one far away") {
+  gate_choice choice;
+  choice.OnReport("near", {.running = 6, .waiting = 12, .slots = 6}, kNow);
+  choice.OnReport("far", {.slots = 6}, kNow);
+  const chosen_gate chosen = ChooseFrom(choice, kNearAndFar);
+  CHECK(chosen.index == 1);
+  CHECK(chosen.is_expected_free);
+}
+
+TEST_CASE("when all are full the choice says so") {
+  gate_choice choice;
+  choice.OnReport("a", {.running = 6, .waiting = 9, .slots = 6}, kNow);
+  choice.OnReport("b", {.running = 6, .waiting = 3, .slots = 6}, kNow);
+  const chosen_gate chosen = ChooseFrom(choice, kTwoNear);
+  CHECK(chosen.index == 1);
+  CHECK_FALSE(chosen.is_expected_free);
+}
+
+TEST_CASE("a report loses its weight with age") {
+  gate_choice choice;
+  choice.OnReport("a", {.running = 6, .waiting = 9, .slots = 6}, kNow);
+  const auto later = kNow + std::chrono::seconds(2);
+  CHECK(ChooseFrom(choice, kTwoNear, later).is_expected_free);
+}
+
+TEST_CASE("a slow server gets less") {
+  gate_choice choice;
+  choice.OnReport("a", {.slots = 6, .pace = 8}, kNow);
+  choice.OnReport("b", {.running = 2, .slots = 6, .pace = 1}, kNow);
+  CHECK(ChooseFrom(choice, kTwoNear).index == 1);
+}
+
+// The pattern: a server fails half of its requests at once while its health
+// check is good, and so looks faster and less loaded than all others.
+TEST_CASE("a server that fails fast gets less") {
+  gate_choice choice;
+  choice.OnReport("a", {.slots = 6, .pace = 0.3, .failing_share = 0.5}, kNow);
+  choice.OnReport("b", {.running = 3, .slots = 6, .pace = 1}, kNow);
+  CHECK(ChooseFrom(choice, kTwoNear).index == 1);
+}
+
+TEST_CASE("a gate that could not be reached is passed over, for a while") {
+  gate_choice choice;
+  choice.OnUnreachable("a", kNow);
+  CHECK(ChooseFrom(choice, kTwoNear).index == 1);
+  choice.OnReport("b", {.running = 6, .waiting = 9, .slots = 6}, kNow);
+  CHECK(ChooseFrom(choice, kTwoNear).index == 1);
+  const auto later = kNow + milliseconds(350);
+  choice.OnReport("b", {.running = 6, .waiting = 9, .slots = 6}, later);
+  CHECK(ChooseFrom(choice, kTwoNear, later).index == 0);
+}
+
+TEST_CASE("a gate that answers again is reachable at once") {
+  gate_choice choice;
+  choice.OnUnreachable("a", kNow);
+  choice.OnReport("a", {.slots = 6}, kNow);
+  choice.OnReport("b", {.running = 6, .waiting = 9, .slots = 6}, kNow);
+  CHECK(ChooseFrom(choice, kTwoNear).index == 0);
+}
+
+TEST_CASE("what was sent since the report counts as load") {
+  gate_choice choice;
+  choice.OnReport("a", {.slots = 2}, kNow);
+  choice.OnReport("b", {.slots = 2}, kNow);
+  for (int i = 0; i < 3; ++i) choice.OnSend("a");
+  CHECK(ChooseFrom(choice, kTwoNear).index == 1);
+}
+
+TEST_CASE("without candidates there is no choice") {
+  CHECK_FALSE(gate_choice().Choose({}, kTypical, base::SeededRandom(1), kNow));
+}
+
+}  // namespace
+}  // namespace fireflyspar::decisions
--- /dev/null
+++ b/tests/proxy/messages_test.cc
@@ -0,0 +1,95 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+
+#include "proxy/entry_text.h"
+#include "proxy/gate_messages.h"
+
+namespace fireflyspar::proxy {
+namespace {
+
+using std::chrono::milliseconds;
+
+call_offer Offer() {
+  return {.service = "stock",
+          .version = "v1",
+          .route = "r-1",
+          .caller_service = "",
+          .is_idempotent = true,
+          .is_call = false,
+          .may_wait = true,
+          .rank = 2,
+          .left = milliseconds(800),
+          .objective_left = milliseconds(-20),
+          .typical = milliseconds(100)};
+}
+
+decisions::server_entry Entry() {
+  return {.instance = "n1",
+          .data_centre = "here",
+          .gate = {.ip = "10.0.0.1", .port = 7600},
+          .server = {.id = "i-1",
+                     .service = "stock",
+                     .version = "v1",
+                     .slots = 6,
+                     .condition = decisions::server_condition::kDraining,
+                     .born_ms = 5}};
+}
+
+TEST_CASE("an offer survives its way as a header") {
+  const auto parsed = ParseOffer(ToText(Offer()));
+  REQUIRE(parsed);
+  CHECK(*parsed == Offer());
+}
+
+TEST_CASE("an offer that is cut short is none") {
+  const std::string text = ToText(Offer());
+  CHECK_FALSE(ParseOffer(text.substr(0, text.rfind(' '))));
+}
+
+TEST_CASE("an outcome survives its way as a message") {
+  gate_outcome outcome = NotRun(base::error_kind::kShed, "full");
+  outcome.wait = milliseconds(70);
+  outcome.has_reached_server = true;
+  outcome.status = gate_status{
+      .load = {.running = 6, .slots = 6}, .server_id = "i-1", .version = "v1"};
+  const gate_outcome back = FromMessage(ToMessage(outcome));
+  CHECK(back.end == gate_end::kNotRun);
+  CHECK(back.reason == base::error_kind::kShed);
+  CHECK(back.wait == milliseconds(70));
+  CHECK(back.has_reached_server);
+  REQUIRE(back.status);
+  CHECK(back.status->load.running == 6);
+}
+
+TEST_CASE("a message that tells no outcome leaves it open") {
+  backend_servers::http_response message;
+  message.result(503);
+  CHECK(FromMessage(message).end == gate_end::kUnknown);
+}
+
+TEST_CASE("an entry survives its way through the store") {
+  const auto parsed = ParseEntry("n1", ToJson(Entry()));
+  REQUIRE(parsed);
+  CHECK(*parsed == Entry());
+}
+
+// The pattern: entries come from other writers too, with fields missing, of
+// another type or with words that nobody knows.
+TEST_CASE("an entry that another writer spoilt names no server") {
+  const nlohmann::json whole = ToJson(Entry());
+  for (const auto& [key, value] : whole.items()) {
+    nlohmann::json missing = ToJson(Entry());
+    missing.erase(key);
+    CHECK_FALSE(ParseEntry("n1", missing));
+    nlohmann::json strange = ToJson(Entry());
+    strange[key] = nlohmann::json::array({value});
+    CHECK_FALSE(ParseEntry("n1", strange));
+  }
+  nlohmann::json unknown = ToJson(Entry());
+  unknown["condition"] = "resting";
+  CHECK_FALSE(ParseEntry("n1", unknown));
+  CHECK_FALSE(ParseEntry("n2", ToJson(Entry())));
+}
+
+}  // namespace
+}  // namespace fireflyspar::proxy
