--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -48,8 +48,8 @@
 
 // Changes of configurations and of servers that come close together are read
 // with one call.
-constexpr milliseconds kGatherConfigurations{250};
-constexpr milliseconds kGatherEntries{300};
+constexpr milliseconds kGatherConfigurations{450};
+constexpr milliseconds kGatherEntries{600};
 constexpr milliseconds kGatherRollouts{100};
 
 constexpr milliseconds kDeadPeerTimeout{1500};
--- a/src/decisions/route_index.h
+++ b/src/decisions/route_index.h
@@ -5,6 +5,7 @@
 #ifndef FIREFLYSPAR_DECISIONS_ROUTE_INDEX_H_
 #define FIREFLYSPAR_DECISIONS_ROUTE_INDEX_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -42,7 +43,7 @@
  private:
   struct state {
     std::vector<config::weighted_service> targets;
-    std::vector<long> credit;
+    std::vector<std::int64_t> credit;
   };
   std::map<std::string, state, std::less<>> by_route_;
 };
