--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -256,6 +256,9 @@
     if (!change.is_removal) OnRollout(change.object);
   };
   auto entries = Following(names.entry_kind, kGatherEntries);
+  // What a gate believes of its server is asked with each offer, so that it
+  // matters little when a router hears of a change.
+  entries.may_be_late = true;
   entries.on_list = [this](std::span<const proxy::stored_object> all) {
     OnEntries(all);
   };
--- a/src/decisions/route_index.cc
+++ b/src/decisions/route_index.cc
@@ -37,11 +37,11 @@
     shared.targets = route.targets;
     shared.credit.assign(route.targets.size(), 0);
   }
-  const std::int64_t total =
-      std::accumulate(route.targets.begin(), route.targets.end(), std::int64_t{0},
-                      [](std::int64_t sum, const config::weighted_service& each) {
-                        return sum + each.weight;
-                      });
+  const std::int64_t total = std::accumulate(
+      route.targets.begin(), route.targets.end(), std::int64_t{0},
+      [](std::int64_t sum, const config::weighted_service& each) {
+        return sum + each.weight;
+      });
   for (std::size_t i = 0; i < route.targets.size(); ++i) {
     shared.credit[i] += route.targets[i].weight;
   }
--- a/src/proxy/listener.cc
+++ b/src/proxy/listener.cc
@@ -104,8 +104,8 @@
 }  // namespace
 
 struct listener::state : std::enable_shared_from_this<listener::state> {
-  state(net::any_io_executor executor, listener_options given)
-      : options(std::move(given)), acceptor(std::move(executor)) {}
+  state(const net::any_io_executor& executor, listener_options given)
+      : options(std::move(given)), acceptor(executor) {}
 
   net::awaitable<void> Accept();
   net::awaitable<void> Serve(std::shared_ptr<connection> client);
--- a/src/proxy/listener.h
+++ b/src/proxy/listener.h
@@ -46,7 +46,7 @@
 
 class listener {
  public:
-  listener(net::any_io_executor executor, listener_options options);
+  listener(const net::any_io_executor& executor, listener_options options);
   ~listener();
   listener(const listener&) = delete;
   listener& operator=(const listener&) = delete;
--- a/src/proxy/object_follower.cc
+++ b/src/proxy/object_follower.cc
@@ -65,8 +65,8 @@
 net::awaitable<bool> object_follower::Watch() {
   watch_ = std::make_shared<backend_servers::cancellation>();
   const auto watch = watch_;
-  const auto heard = co_await options_.store->watch(options_.kind, revision_,
-                                                    kWatchWait, *watch);
+  const auto heard = co_await options_.store->watch(
+      options_.kind, revision_, kWatchWait, options_.may_be_late, *watch);
   watch_ = nullptr;
   if (watch->IsCancelled()) co_return false;
   if (!heard) {
--- a/src/proxy/object_follower.h
+++ b/src/proxy/object_follower.h
@@ -23,6 +23,8 @@
   base::random_hook random;
   // A pause after each change, in which further ones gather into one answer.
   std::chrono::milliseconds gather{200};
+  // Whether it is enough to hear of changes some seconds late.
+  bool may_be_late = false;
   // All objects of the kind as they are now.
   std::function<void(std::span<const stored_object>)> on_list;
   std::function<void(const object_change&)> on_change;
--- a/src/proxy/object_store.h
+++ b/src/proxy/object_store.h
@@ -49,10 +49,11 @@
 // kConflict, kNotFound and, for a watch, kHistoryGone.
 struct object_store {
   std::function<async_result<object_list>(std::string kind)> list;
-  // Waits up to `wait` for a change after `revision`, or until cancelled.
+  // Waits up to `wait` for a change after `revision`, or until cancelled. One
+  // that may be late is cheaper, and may tell of a change seconds afterwards.
   std::function<async_result<object_changes>(
       std::string kind, std::uint64_t revision, std::chrono::milliseconds wait,
-      backend_servers::cancellation& cancel)>
+      bool may_be_late, backend_servers::cancellation& cancel)>
       watch;
   // Asks for next to nothing, at the least price there is; fails when the store
   // does not serve this process within the time.
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -63,8 +63,9 @@
 
 std::optional<milliseconds> ParseMilliseconds(std::string_view text) {
   std::int64_t number = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, number);
+  const char* const begin = text.data();
+  const char* const end = begin + text.size();
+  const auto parsed = std::from_chars(begin, end, number);
   if (parsed.ec != std::errc() || parsed.ptr != end || number < 0) {
     return std::nullopt;
   }
--- a/tests/decisions/ranked_admission_test.cc
+++ b/tests/decisions/ranked_admission_test.cc
@@ -188,7 +188,7 @@
   for (int i = 0; i < total; ++i) {
     const auto now = kStart + std::chrono::nanoseconds(seconds(20)) * i / total;
     finish_until(now);
-    const auto ticket = static_cast<std::uint64_t>(i + 1);
+    const std::uint64_t ticket = static_cast<std::uint64_t>(i) + 1;
     jobs[ticket].came = now;
     const auto entered = gate.Enter(Claim({.ticket = ticket}, now), now);
     if (entered.choice == admission_choice::kRun) start(ticket, now);
--- a/tests/proxy/object_follower_test.cc
+++ b/tests/proxy/object_follower_test.cc
@@ -18,10 +18,10 @@
 // A store whose watches end as a test wants them to, one after the other.
 struct scripted_store {
   scripted_store()
-      : hooks({.list = [this](std::string) { return List(); },
+      : hooks({.list = [this](const std::string&) { return List(); },
                .watch =
-                   [this](std::string, std::uint64_t revision, milliseconds,
-                          backend_servers::cancellation&) {
+                   [this](const std::string&, std::uint64_t revision,
+                          milliseconds, backend_servers::cancellation&) {
                      return Watch(revision);
                    }}) {}
 
@@ -93,7 +93,7 @@
 // Watching on from the old revision would hear nothing of what was missed.
 TEST_CASE("a follower lists again after its watch was cut") {
   scripted_store store;
-  store.watch_ends.push_back(
+  store.watch_ends.emplace_back(
       base::Fail(base::error_kind::kPlatformUnavailable, "reset"));
   store.Follow(milliseconds(500));
   CHECK(store.lists == 2);
@@ -101,7 +101,8 @@
 
 TEST_CASE("a follower lists again when the history is gone") {
   scripted_store store;
-  store.watch_ends.push_back(base::Fail(base::error_kind::kHistoryGone, "410"));
+  store.watch_ends.emplace_back(
+      base::Fail(base::error_kind::kHistoryGone, "410"));
   store.Follow(milliseconds(500));
   CHECK(store.lists == 2);
 }
