--- a/src/proxy/listener.cc
+++ b/src/proxy/listener.cc
@@ -288,9 +288,9 @@
   }
 }
 
-listener::listener(net::any_io_executor executor, listener_options options)
-    : state_(std::make_shared<state>(std::move(executor), std::move(options))) {
-}
+listener::listener(const net::any_io_executor& executor,
+                   listener_options options)
+    : state_(std::make_shared<state>(executor, std::move(options))) {}
 
 listener::~listener() { Close(); }
 
