Judge a roll-out by the old version's whole history; drop entries whose address is used again

A proxy that had started during the trial saw a route whose requests last longer than it allows fail 4 times of 4 on the new version, and knew no run of the old one, since it subtracted what it had first heard. The later start wins, and the new one removes the old entry.

--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -98,6 +98,7 @@
   void OnEntries(std::span<const proxy::stored_object> objects);
   void OnEntry(const proxy::object_change& change);
   bool PutEntry(const proxy::stored_object& object);
+  net::awaitable<void> RemoveEntry(proxy::stored_object object);
 
   net::awaitable<void> Tick();
   net::awaitable<void> HandleSignals();
@@ -436,11 +437,30 @@
 bool proxy_process::PutEntry(const proxy::stored_object& object) {
   if (object.name == settings_.instance) publisher_.OnStored(object);
   const auto entry = proxy::ParseEntry(object.name, object.content);
-  if (entry) return directory_.Put(*entry);
+  if (entry) {
+    // Whoever had this address before is gone for good.
+    const bool has_own_address =
+        entry->gate == settings_.gate && entry->instance != settings_.instance;
+    if (has_own_address) {
+      net::co_spawn(executor_, RemoveEntry(object), net::detached);
+      return directory_.Remove(object.name);
+    }
+    return directory_.Put(*entry);
+  }
   log_.Write(event_weight::kState, "entry_rejected", {{"name", object.name}});
   return directory_.Remove(object.name);
 }
 
+net::awaitable<void> proxy_process::RemoveEntry(proxy::stored_object object) {
+  const auto removed = co_await store_.remove(adapter_.names.entry_kind,
+                                              object.name, object.revision);
+  const std::string result =
+      removed ? "ok"
+              : std::string(base::AnswerFor(removed.Failure().Kind()).name);
+  log_.Write(event_weight::kState, "entry_removed",
+             {{"name", object.name}, {"result", result}});
+}
+
 void proxy_process::OnEntries(std::span<const proxy::stored_object> objects) {
   std::vector<std::string> names(objects.size());
   std::ranges::transform(objects, names.begin(), &proxy::stored_object::name);
--- a/src/decisions/server_directory.cc
+++ b/src/decisions/server_directory.cc
@@ -47,8 +47,14 @@
 
 void server_directory::Reindex() {
   by_service_.clear();
+  std::map<base::address, std::int64_t> latest;
+  for (const auto& [instance, entry] : entries_) {
+    std::int64_t& born = latest[entry.gate];
+    born = std::max(born, entry.server.born_ms);
+  }
   for (const auto& [instance, entry] : entries_) {
     if (entry.server.condition != server_condition::kServing) continue;
+    if (entry.server.born_ms < latest[entry.gate]) continue;
     by_service_[entry.server.service].push_back(&entry);
   }
 }
--- a/src/decisions/server_directory.h
+++ b/src/decisions/server_directory.h
@@ -1,6 +1,8 @@
 // What this proxy knows of the backend servers: one entry for each instance,
 // published by the gate beside the server. Entries come in the order in which
-// the store took them; the latest stands.
+// the store took them; the latest stands. Addresses are used again: of two
+// entries with the same gate, only the one whose server was started last
+// counts.
 #ifndef FIREFLYSPAR_DECISIONS_SERVER_DIRECTORY_H_
 #define FIREFLYSPAR_DECISIONS_SERVER_DIRECTORY_H_
 
--- a/src/decisions/version_trial.h
+++ b/src/decisions/version_trial.h
@@ -94,6 +94,7 @@
 
   double PartOfPeriod(base::steady_instant now) const;
   run_counts Sum(bool is_new, std::string_view route) const;
+  run_counts OldHistory(std::string_view route) const;
   bool IsWorse(std::string_view route) const;
 
   trial_order order_;
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -50,13 +50,17 @@
 // An answer that takes this many typical times is slow.
 constexpr int kSlowMultiple = 3;
 
+// A server that ran out of the request's time was late, which is counted as
+// slowness.
 bool IsServerFailure(const gate_outcome& outcome) {
   if (outcome.end == gate_end::kUnknown) {
     return outcome.reason == error_kind::kServerFailed;
   }
   constexpr unsigned kServerErrors = 500;
-  return outcome.end == gate_end::kAnswered &&
-         outcome.answer.result_int() >= kServerErrors;
+  constexpr unsigned kGatewayTimeout = 504;
+  const unsigned status = outcome.answer.result_int();
+  return outcome.end == gate_end::kAnswered && status >= kServerErrors &&
+         status != kGatewayTimeout;
 }
 
 base::duration Since(base::steady_instant begun) {
