--- a/src/app/rollout_writer.cc
+++ b/src/app/rollout_writer.cc
@@ -31,7 +31,9 @@
 }
 
 void rollout_writer::Write(const trial_order& order) {
-  if (!under_way_.emplace(order.service, order.state).second) return;
+  if (!under_way_.emplace(order.service, order.target_version, order.state)
+           .second)
+    return;
   net::co_spawn(options_.executor, WriteSoon(order), net::detached);
 }
 
@@ -48,7 +50,7 @@
   const auto known = objects_.find(order.service);
   if (known == objects_.end()) return true;  // The order is gone.
   const auto stored = options_.adapter->decode_rollout(known->second);
-  if (!stored || stored->order.id != order.id) return true;
+  if (!stored || !decisions::IsSameOrder(stored->order, order)) return true;
   if (!stored->has_state) return false;
   return stored->order.state != trial_state::kRunning ||
          order.state == trial_state::kRunning;
@@ -89,7 +91,7 @@
         options_.adapter->names.rollout_kind, order.service);
     if (current) OnObject(*current);
   }
-  under_way_.erase({order.service, order.state});
+  under_way_.erase({order.service, order.target_version, order.state});
 }
 
 }  // namespace fireflyspar::app
--- a/src/app/rollout_writer.h
+++ b/src/app/rollout_writer.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 
 #include "app/platform_adapter.h"
 #include "base/event_log.h"
@@ -43,7 +44,9 @@
 
   rollout_writer_options options_;
   std::map<std::string, proxy::stored_object> objects_;  // By service.
-  std::set<std::pair<std::string, decisions::trial_state>> under_way_;
+  // Service, version and state.
+  std::set<std::tuple<std::string, std::string, decisions::trial_state>>
+      under_way_;
 };
 
 }  // namespace fireflyspar::app
--- a/src/decisions/version_trial.h
+++ b/src/decisions/version_trial.h
@@ -23,7 +23,7 @@
 
 // An operator's order, and what is known of its outcome.
 struct trial_order {
-  std::uint64_t id = 0;  // Differs between two orders for one service.
+  std::uint64_t id = 0;  // Of the object that holds the orders of a service.
   std::string service;
   std::string target_version;
   base::duration period{};  // From the order to the time it must be done by.
@@ -32,6 +32,13 @@
   bool operator==(const trial_order&) const = default;
 };
 
+// Whether both are the same order, whatever has become of it. An operator may
+// give the next order in the object of the last one.
+inline bool IsSameOrder(const trial_order& left, const trial_order& right) {
+  return left.id == right.id && left.service == right.service &&
+         left.target_version == right.target_version;
+}
+
 // Requests that one server ran on one route since it started.
 struct run_counts {
   std::uint64_t total = 0;
--- a/src/proxy/rollouts.cc
+++ b/src/proxy/rollouts.cc
@@ -29,8 +29,8 @@
 void rollouts::OnOrder(const trial_order& order, bool has_state,
                        base::duration age) {
   const auto known = trials_.find(order.service);
-  const bool is_known =
-      known != trials_.end() && known->second.Order().id == order.id;
+  const bool is_known = known != trials_.end() &&
+                        decisions::IsSameOrder(known->second.Order(), order);
   if (is_known) {
     const trial_state before = known->second.Order().state;
     known->second.SetState(order.state);
--- a/tests/proxy/object_follower_test.cc
+++ b/tests/proxy/object_follower_test.cc
@@ -21,7 +21,7 @@
       : hooks({.list = [this](const std::string&) { return List(); },
                .watch =
                    [this](const std::string&, std::uint64_t revision,
-                          milliseconds, backend_servers::cancellation&) {
+                          milliseconds, bool, backend_servers::cancellation&) {
                      return Watch(revision);
                    }}) {}
 
--- /dev/null
+++ b/tests/proxy/rollouts_test.cc
@@ -0,0 +1,122 @@
+#include "proxy/rollouts.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <vector>
+
+namespace fireflyspar::proxy {
+namespace {
+
+using decisions::trial_order;
+using decisions::trial_state;
+using std::chrono::seconds;
+
+decisions::server_entry Server(std::string instance, std::uint16_t port,
+                               std::string version) {
+  return {.instance = std::move(instance),
+          .gate = {.ip = "10.0.0.1", .port = port},
+          .server = {.id = "i-" + version,
+                     .service = "stock",
+                     .version = std::move(version),
+                     .slots = 6}};
+}
+
+trial_order Order(std::string version) {
+  return {.id = 1,
+          .service = "stock",
+          .target_version = std::move(version),
+          .period = seconds(16)};
+}
+
+// A proxy that knows servers of three versions of one service.
+struct small_world {
+  small_world() {
+    directory.Put(Server("a", 1, "v1"));
+    directory.Put(Server("b", 2, "v1"));
+    directory.Put(Server("c", 3, "v2"));
+    directory.Put(Server("d", 4, "v3"));
+  }
+
+  // How many of a hundred requests go to that version.
+  int SentTo(const std::string& version) {
+    int sent = 0;
+    for (int i = 0; i < 100; ++i) {
+      if (trials.ChooseVersion("stock") == version) ++sent;
+    }
+    return sent;
+  }
+
+  decisions::server_directory directory;
+  std::vector<trial_order> written;
+  base::event_log log{
+      {.write = [](std::string_view bytes) { return bytes.size(); },
+       .clock = base::SystemClock()}};
+  rollouts trials{{.random = base::SeededRandom(1),
+                   .log = &log,
+                   .directory = &directory,
+                   .write_state = [this](const trial_order& order) {
+                     written.push_back(order);
+                   }}};
+};
+
+TEST_CASE("without an order a new version gets nothing") {
+  small_world world;
+  CHECK(world.SentTo("v1") == 100);
+}
+
+TEST_CASE("an ordered version gets the canary's share") {
+  small_world world;
+  world.trials.OnOrder(Order("v2"), false, {});
+  const int sent = world.SentTo("v2");
+  CHECK(sent > 0);
+  CHECK(sent < 15);
+  REQUIRE(world.written.size() == 1);
+  CHECK(world.written.front().state == trial_state::kRunning);
+}
+
+TEST_CASE("a version that is rolled back gets nothing") {
+  small_world world;
+  world.trials.OnOrder(Order("v2"), false, {});
+  trial_order ended = Order("v2");
+  ended.state = trial_state::kRolledBack;
+  world.trials.OnOrder(ended, true, {});
+  CHECK(world.SentTo("v2") == 0);
+}
+
+// The pattern: the operator replaces the order by one for the next version, in
+// the same object.
+TEST_CASE("an order for another version in the same object is a new one") {
+  small_world world;
+  world.trials.OnOrder(Order("v2"), false, {});
+  trial_order ended = Order("v2");
+  ended.state = trial_state::kRolledBack;
+  world.trials.OnOrder(ended, true, {});
+  world.trials.OnOrder(Order("v3"), false, {});
+  CHECK(world.SentTo("v3") > 0);
+  CHECK(world.SentTo("v2") == 0);
+}
+
+TEST_CASE("a version that succeeded gets everything") {
+  small_world world;
+  trial_order ended = Order("v2");
+  ended.state = trial_state::kSucceeded;
+  world.trials.OnOrder(ended, true, {});
+  CHECK(world.SentTo("v2") == 100);
+}
+
+TEST_CASE("what gates tell of failures ends the trial here at once") {
+  small_world world;
+  world.trials.OnOrder(Order("v2"), true, {});
+  gate_status old{.server_id = "i-v1", .version = "v1"};
+  old.counts = {.total = 100};
+  gate_status fresh{.server_id = "i-v2", .version = "v2"};
+  fresh.counts = {.total = 10, .failed = 5};
+  world.trials.OnStatus("stock", "r", old);
+  world.trials.OnStatus("stock", "r", fresh);
+  CHECK(world.SentTo("v2") == 0);
+  REQUIRE(world.written.size() == 1);
+  CHECK(world.written.front().state == trial_state::kRolledBack);
+}
+
+}  // namespace
+}  // namespace fireflyspar::proxy
