--- a/src/backend_servers/http.cc
+++ b/src/backend_servers/http.cc
@@ -114,4 +114,35 @@
   return response;
 }
 
+std::optional<http_response> RefusalForUnread(
+    const boost::system::error_code& error) {
+  if (error == http::error::header_limit) {
+    http_response refusal = MakeRefusal(base::error_kind::kTooLarge,
+                                        "the request's headers are too large");
+    refusal.result(http::status::request_header_fields_too_large);
+    return refusal;
+  }
+  if (error == http::error::body_limit) {
+    return MakeRefusal(base::error_kind::kTooLarge,
+                       "the request's body is too large");
+  }
+  const bool is_http_error =
+      error.category() == make_error_code(http::error::bad_method).category();
+  const bool is_end = error == http::error::end_of_stream ||
+                      error == http::error::partial_message;
+  if (!is_http_error || is_end) return std::nullopt;
+  return MakeRefusal(base::error_kind::kBadRequest,
+                     "the request is malformed: " + error.message());
+}
+
+void TrimBody(bool to_head, http_response& response) {
+  const unsigned status = response.result_int();
+  if (status == 204 || status == 304) {
+    response.body().clear();
+    response.erase(http::field::content_length);
+  } else if (to_head) {
+    response.body().clear();
+  }
+}
+
 }  // namespace fireflyspar::backend_servers
--- a/src/backend_servers/http.h
+++ b/src/backend_servers/http.h
@@ -17,6 +17,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -99,6 +100,15 @@
 http_response MakeRefusal(base::error_kind kind, std::string_view detail,
                           base::run_state run);
 
+// What to tell a caller whose request could not be read; nothing when there is
+// nobody to tell.
+std::optional<http_response> RefusalForUnread(
+    const boost::system::error_code& error);
+
+// Takes the body from an answer that goes without: one to HEAD, or with a
+// status that has none.
+void TrimBody(bool to_head, http_response& response);
+
 }  // namespace fireflyspar::backend_servers
 
 #endif  // FIREFLYSPAR_BACKEND_SERVERS_HTTP_H_
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -9,30 +9,13 @@
 #include <cstdio>
 #include <ctime>
 
+#include "base/log.h"
+
 namespace fireflyspar::base {
 namespace {
 
 constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
 
-bool NeedsQuotes(std::string_view value) {
-  return value.empty() || std::ranges::any_of(value, [](char c) {
-           return c <= ' ' || c == '"' || c == '=' || c == '\\';
-         });
-}
-
-void AppendValue(std::string& line, std::string_view value) {
-  if (!NeedsQuotes(value)) {
-    line.append(value);
-    return;
-  }
-  line.push_back('"');
-  for (const char c : value) {
-    if (c == '"' || c == '\\') line.push_back('\\');
-    line.push_back(c < ' ' ? ' ' : c);
-  }
-  line.push_back('"');
-}
-
 void AppendTime(std::string& line, instant now) {
   const std::int64_t since = now.time_since_epoch().count();
   const std::time_t seconds = since / kMicrosecondsPerSecond;
@@ -85,7 +68,7 @@
     pending_.push_back(' ');
     pending_.append(field.key);
     pending_.push_back('=');
-    AppendValue(pending_, field.value);
+    AppendLogValue(pending_, field.value);
   }
   pending_.push_back('\n');
 }
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -31,7 +31,9 @@
          });
 }
 
-void AppendValue(std::string& line, std::string_view value) {
+}  // namespace
+
+void AppendLogValue(std::string& line, std::string_view value) {
   if (!NeedsQuotes(value)) {
     line.append(value);
     return;
@@ -39,13 +41,11 @@
   line.push_back('"');
   for (const char c : value) {
     if (c == '"' || c == '\\') line.push_back('\\');
-    line.push_back(c == '\n' ? ' ' : c);
+    line.push_back(c < ' ' ? ' ' : c);
   }
   line.push_back('"');
 }
 
-}  // namespace
-
 void StartLog(log_level level) {
   el::Configurations settings;
   settings.setToDefault();
@@ -69,7 +69,7 @@
     line.push_back(' ');
     line.append(field.key);
     line.push_back('=');
-    AppendValue(line, field.value);
+    AppendLogValue(line, field.value);
   }
   switch (level) {
     case log_level::kDebug:
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -21,6 +21,10 @@
 // error. `level`: the least level that is written.
 void StartLog(log_level level);
 
+// Appends a field's value, in quotes where it needs them; control characters
+// become spaces.
+void AppendLogValue(std::string& line, std::string_view value);
+
 // Writes one line. `event` is a stable name in snake case.
 void Log(log_level level, std::string_view event,
          std::initializer_list<log_field> fields);
--- a/src/callers/http_listener.cc
+++ b/src/callers/http_listener.cc
@@ -60,28 +60,6 @@
   ignored = client.stream.socket().cancel(ignored);
 }
 
-// What to tell a caller whose request could not be read; nothing when there is
-// nobody to tell.
-std::optional<http_response> RefusalFor(const error_code& error) {
-  if (error == http::error::header_limit) {
-    http_response refusal = backend_servers::MakeRefusal(
-        error_kind::kTooLarge, "the request's headers are too large");
-    refusal.result(http::status::request_header_fields_too_large);
-    return refusal;
-  }
-  if (error == http::error::body_limit) {
-    return backend_servers::MakeRefusal(error_kind::kTooLarge,
-                                        "the request's body is too large");
-  }
-  const bool is_http_error =
-      error.category() == make_error_code(http::error::bad_method).category();
-  const bool is_end = error == http::error::end_of_stream ||
-                      error == http::error::partial_message;
-  if (!is_http_error || is_end) return std::nullopt;
-  return backend_servers::MakeRefusal(
-      error_kind::kBadRequest, "the request is malformed: " + error.message());
-}
-
 // What makes a well-formed request one that we don't take.
 std::optional<http_response> RefusalFor(const http_request& request) {
   if (request.version() != 11 && request.version() != 10) {
@@ -95,18 +73,6 @@
   return std::nullopt;
 }
 
-// An answer to HEAD, or one with a status that has none, goes without a body.
-void TrimBody(bool to_head, http_response& response) {
-  const unsigned status = response.result_int();
-  const bool never_has_body = status == 204 || status == 304;
-  if (never_has_body) {
-    response.body().clear();
-    response.erase(http::field::content_length);
-    return;
-  }
-  if (to_head) response.body().clear();
-}
-
 // Closes so that the last answer still arrives when unread bytes are left: ends
 // our side first, and takes in for a moment what the caller still sends.
 net::awaitable<void> CloseGently(connection& client) {
@@ -235,7 +201,7 @@
   for (;;) {
     const error_code error = co_await ReadRequest(*client, options, parser);
     if (error) {
-      auto refusal = RefusalFor(error);
+      auto refusal = backend_servers::RefusalForUnread(error);
       if (!refusal) co_return;
       refusal->keep_alive(false);
       co_await WriteAnswer(*client, options, *refusal);
@@ -261,7 +227,7 @@
       StopWatching(*client);
     }
     if (call.cancel->IsCancelled()) co_return;
-    TrimBody(to_head, answer);
+    backend_servers::TrimBody(to_head, answer);
     answer.version(version);
     const bool stays = may_stay && !refusal && !shared->finishing;
     answer.keep_alive(stays);
--- a/src/proxy/listener.cc
+++ b/src/proxy/listener.cc
@@ -57,39 +57,6 @@
   ignored = client.stream.socket().cancel(ignored);
 }
 
-// What to tell a caller whose request could not be read; nothing when there is
-// nobody to tell.
-std::optional<http_response> RefusalFor(const error_code& error) {
-  if (error == http::error::header_limit) {
-    http_response refusal = backend_servers::MakeRefusal(
-        error_kind::kTooLarge, "the request's headers are too large");
-    refusal.result(http::status::request_header_fields_too_large);
-    return refusal;
-  }
-  if (error == http::error::body_limit) {
-    return backend_servers::MakeRefusal(error_kind::kTooLarge,
-                                        "the request's body is too large");
-  }
-  const bool is_http_error =
-      error.category() == make_error_code(http::error::bad_method).category();
-  const bool is_end = error == http::error::end_of_stream ||
-                      error == http::error::partial_message;
-  if (!is_http_error || is_end) return std::nullopt;
-  return backend_servers::MakeRefusal(
-      error_kind::kBadRequest, "the request is malformed: " + error.message());
-}
-
-// An answer to HEAD, or one with a status that has none, goes without a body.
-void TrimBody(bool to_head, http_response& response) {
-  const unsigned status = response.result_int();
-  if (status == 204 || status == 304) {
-    response.body().clear();
-    response.erase(http::field::content_length);
-  } else if (to_head) {
-    response.body().clear();
-  }
-}
-
 net::awaitable<void> CloseGently(connection& client) {
   error_code error;
   error = client.stream.socket().shutdown(tcp::socket::shutdown_send, error);
@@ -225,7 +192,7 @@
       }
     }
     if (error) {
-      auto refusal = RefusalFor(error);
+      auto refusal = backend_servers::RefusalForUnread(error);
       if (!refusal) co_return;
       refusal->keep_alive(false);
       error_code write_error;
@@ -246,7 +213,7 @@
       --active;
       co_return;
     }
-    TrimBody(to_head, answer);
+    backend_servers::TrimBody(to_head, answer);
     answer.version(version);
     stays = stays && keeps && !closed;
     answer.keep_alive(stays);
