--- a/src/app/rollout_writer.cc
+++ b/src/app/rollout_writer.cc
@@ -31,9 +31,9 @@
 }
 
 void rollout_writer::Write(const trial_order& order) {
-  if (!under_way_.emplace(order.service, order.target_version, order.state)
-           .second)
-    return;
+  const auto [_, is_first] =
+      under_way_.emplace(order.service, order.target_version, order.state);
+  if (!is_first) return;
   net::co_spawn(options_.executor, WriteSoon(order), net::detached);
 }
 
--- a/tests/proxy/object_follower_test.cc
+++ b/tests/proxy/object_follower_test.cc
@@ -81,7 +81,7 @@
 
 TEST_CASE("a follower watches on from the revision of the last change") {
   scripted_store store;
-  store.watch_ends.push_back(
+  store.watch_ends.emplace_back(
       object_changes{.changes = {{.object = {.name = "a"}}}, .revision = 7});
   store.Follow(milliseconds(100));
   CHECK(store.lists == 1);
