Try gates that can't be reached by connects of our own; pass over a data centre that is cut off

Cause: requests of the grown kfsra site's smallest service took 250 or 500 ms more than their wait and run (p90 of orders 509 ms at seconds 17 to 19): one or two failed connects to gates of machines that were gone. Each router tried each such gate again every 2.4 s with a request. In a cut between data centres every gate beyond it cost a request 250 ms, or 700 ms on a kept connection (800 of 5,300 requests failed in seconds 30 to 34). Ruled out: processor time and links (the extra time came in steps of 250 ms). Change: a gate that could not be reached is passed over until a connect of the router's own succeeds; two different gates of another data centre that fail without an answer from there in between tell of all of it, for 1 s after the latest failure; a gate whose server leaves says so for 10 s instead of 0.25 s; connects between proxies may take 150 ms (250 ms before).

--- a/src/backend_servers/exchange.cc
+++ b/src/backend_servers/exchange.cc
@@ -174,6 +174,16 @@
 
 }  // namespace
 
+net::awaitable<bool> CanConnect(net::any_io_executor executor, base::address to,
+                                std::chrono::milliseconds timeout) {
+  connection fresh(executor);
+  const exchange_options options{.to = std::move(to),
+                                 .deadline = steady::now() + timeout,
+                                 .connect_timeout = timeout};
+  const error_code error = co_await Connect(fresh, options);
+  co_return !error;
+}
+
 net::awaitable<exchange_result> Exchange(connection_pool& pool,
                                          const exchange_options& options,
                                          http_request& request,
--- a/src/backend_servers/exchange.h
+++ b/src/backend_servers/exchange.h
@@ -54,6 +54,10 @@
   std::chrono::milliseconds continue_timeout{0};
 };
 
+// Whether a connection to the address can be made within the time.
+net::awaitable<bool> CanConnect(net::any_io_executor executor, base::address to,
+                                std::chrono::milliseconds timeout);
+
 net::awaitable<exchange_result> Exchange(connection_pool& pool,
                                          const exchange_options& options,
                                          http_request& request,
--- /dev/null
+++ b/src/decisions/data_centre_reach.cc
@@ -0,0 +1,27 @@
+#include "decisions/data_centre_reach.h"
+
+namespace fireflyspar::decisions {
+
+void data_centre_reach::OnUnreachable(std::string_view data_centre,
+                                      std::string_view gate,
+                                      base::steady_instant now) {
+  suspicion& known = suspicions_[std::string(data_centre)];
+  if (now - known.latest > options_.memory) known.gates.clear();
+  known.gates.emplace(gate);
+  known.latest = now;
+  if (known.gates.size() < options_.suspects) return;
+  known.avoid_until = now + options_.avoidance;
+}
+
+void data_centre_reach::OnReachable(std::string_view data_centre) {
+  const auto known = suspicions_.find(data_centre);
+  if (known != suspicions_.end()) suspicions_.erase(known);
+}
+
+bool data_centre_reach::IsCutOff(std::string_view data_centre,
+                                 base::steady_instant now) const {
+  const auto known = suspicions_.find(data_centre);
+  return known != suspicions_.end() && now < known->second.avoid_until;
+}
+
+}  // namespace fireflyspar::decisions
--- a/src/decisions/gate_choice.cc
+++ b/src/decisions/gate_choice.cc
@@ -8,9 +8,6 @@
 namespace fireflyspar::decisions {
 namespace {
 
-// Doubling stops here; the longest avoidance caps it anyway.
-constexpr int kMostDoublings = 8;
-
 // Extra time of a server whose slots are all taken, as a part of its time.
 constexpr double kFullServerCost = 0.3;
 
@@ -48,7 +45,7 @@
   cost += far;
   cost += options_.failure_cost * base_time * report.failing_share;
   if (now < known->closed_until) cost += kPassedOverCost;
-  if (now < known->avoid_until) cost += kUnreachableCost;
+  if (known->is_unreachable) cost += kUnreachableCost;
   return {.cost = cost, .is_free = over < 1};
 }
 
@@ -86,10 +83,7 @@
   const double cost = made.cost * (1 + options_.blur * base::Unit(random()));
   if (so_far.best && cost >= so_far.least) return;
   so_far.least = cost;
-  so_far.best = {
-      .index = index,
-      .is_expected_free = made.is_free,
-      .is_unreachable = known != nullptr && so_far.now < known->avoid_until};
+  so_far.best = {.index = index, .is_expected_free = made.is_free};
 }
 
 void gate_choice::OnSend(std::string_view instance) {
@@ -117,21 +111,12 @@
   gates_[std::string(instance)].closed_until = now + avoid;
 }
 
-void gate_choice::OnUnreachable(std::string_view instance,
-                                base::steady_instant now) {
-  gate_state& gate = gates_[std::string(instance)];
-  if (now < gate.avoid_until) return;
-  const base::duration wanted =
-      options_.first_avoidance *
-      (1 << std::min(gate.unreachable_in_row, kMostDoublings));
-  gate.avoid_until = now + std::min(wanted, options_.longest_avoidance);
-  ++gate.unreachable_in_row;
+void gate_choice::OnUnreachable(std::string_view instance) {
+  gates_[std::string(instance)].is_unreachable = true;
 }
 
 void gate_choice::OnReachable(std::string_view instance) {
-  gate_state& gate = gates_[std::string(instance)];
-  gate.unreachable_in_row = 0;
-  gate.avoid_until = {};
+  gates_[std::string(instance)].is_unreachable = false;
 }
 
 void gate_choice::Forget(std::string_view instance) {
--- a/src/decisions/gate_choice.h
+++ b/src/decisions/gate_choice.h
@@ -42,12 +42,6 @@
   // missing of the first is drawn from the second.
   int compared_near = 4;
   int compared_far = 2;
-  // How long a gate is passed over after it could not be reached, doubled each
-  // time up to the longest.
-  base::duration first_avoidance = std::chrono::milliseconds(300);
-  base::duration longest_avoidance = std::chrono::milliseconds(2400);
-  // How long one that refused for being closed or full is passed over.
-  base::duration refusal_avoidance = std::chrono::milliseconds(60);
 };
 
 struct gate_candidate {
@@ -59,7 +53,6 @@
 struct chosen_gate {
   std::size_t index = 0;
   bool is_expected_free = true;  // A slot seems to be free.
-  bool is_unreachable = false;   // It could not be reached lately.
 };
 
 class gate_choice {
@@ -80,7 +73,10 @@
   // The gate refused without saying more than that it is closed.
   void OnClosed(std::string_view instance, base::duration avoid,
                 base::steady_instant now);
-  void OnUnreachable(std::string_view instance, base::steady_instant now);
+
+  // A gate that could not be reached is passed over until it was, or until it
+  // is forgotten.
+  void OnUnreachable(std::string_view instance);
   void OnReachable(std::string_view instance);
 
   // Forgets all of a gate, as when another server stands behind it.
@@ -92,8 +88,7 @@
     base::steady_instant reported;
     int sent_since = 0;  // Since the report.
     int in_flight = 0;   // From this proxy.
-    int unreachable_in_row = 0;
-    base::steady_instant avoid_until;
+    bool is_unreachable = false;
     base::steady_instant closed_until;
   };
 
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -32,6 +32,10 @@
 // than the time between two reports.
 constexpr milliseconds kResumedSilence{2000};
 
+// What a gate whose server leaves says of when to come back. Routers hear of a
+// next server here from its entry.
+constexpr milliseconds kLeftWait{10'000};
+
 // How much longer than its deadline a server's own last answer is waited for.
 constexpr milliseconds kAnswerGrace{60};
 
@@ -230,6 +234,9 @@
   if (admitted.choice == admission_choice::kRefuse) {
     outcome = NotRun(admitted.reason, "refused by the gate");
     outcome.wait = admitted.wait;
+    const bool server_leaves =
+        admitted.reason == error_kind::kDraining && !is_closed_;
+    if (server_leaves) outcome.wait = kLeftWait;
     if (admitted.reason == error_kind::kCancelled) {
       outcome.end = gate_end::kCancelled;
     }
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -1,6 +1,11 @@
 #include "proxy/router.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <chrono>
 #include <cmath>
@@ -38,7 +43,7 @@
 // Offers for one try, those to gates that can't be reached included.
 constexpr int kMostOffers = 8;
 
-constexpr milliseconds kConnectTimeout{250};
+constexpr milliseconds kConnectTimeout{150};
 constexpr milliseconds kDeadPeerTimeout{700};
 
 // How much longer than the wait limit a gate takes to grant a slot.
@@ -47,9 +52,15 @@
 // How much longer than the deadline another proxy's answer is waited for.
 constexpr milliseconds kAnswerGrace{120};
 
-// How long a gate that says it is closed is passed over.
+// How long a gate that says it is closed is passed over, unless it says for how
+// long it will be.
 constexpr milliseconds kClosedAvoidance{250};
 
+// Between two tries to connect to a gate that could not be reached, doubled
+// each time up to the longest. No request waits for them.
+constexpr milliseconds kFirstProbe{300};
+constexpr milliseconds kLongestProbe{2400};
+
 // Typical time at a server before any answer: this part of the objective.
 constexpr int kObjectivePart = 3;
 constexpr milliseconds kFirstTypical{50};
@@ -137,9 +148,9 @@
   const auto& entries = options_.directory->Entries();
   budget_.SetProxies(static_cast<int>(entries.size()));
   for (const auto& [instance, entry] : entries) {
-    std::string& seen = servers_seen_[instance];
-    if (seen == entry.server.id) continue;
-    seen = entry.server.id;
+    decisions::server_info& seen = servers_seen_[instance];
+    if (seen == entry.server) continue;
+    seen = entry.server;
     choice_.Forget(instance);
   }
   std::erase_if(servers_seen_, [&entries](const auto& each) {
@@ -256,6 +267,7 @@
                             : std::min(trip.least_wait, outcome.wait);
     }
     last = std::move(outcome);
+    if (!is_full) last.wait = kReturnWithoutServer;
     if (last.has_reached_server) {
       // The server counts the next offer as a repeat of this one.
       if (!budget_.TryTake(trip.service, steady::now())) break;
@@ -266,24 +278,36 @@
   co_return last;
 }
 
+// Servers of the version that may be asked, without those of data centres that
+// are cut off, unless all are.
+std::vector<const server_entry*> router::UsableServers(
+    const journey& trip, std::string_view version,
+    base::steady_instant now) const {
+  std::vector<const server_entry*> found;
+  std::ranges::copy_if(options_.directory->Serving(trip.service),
+                       std::back_inserter(found),
+                       [&](const server_entry* each) {
+                         return each->server.version == version &&
+                                !trip.ran_on.contains(each->instance) &&
+                                !trip.refused.contains(each->instance);
+                       });
+  const auto cut_off =
+      std::ranges::partition(found, [&](const server_entry* each) {
+        return !reach_.IsCutOff(each->data_centre, now);
+      });
+  const bool is_any_left = cut_off.begin() != found.begin();
+  if (is_any_left) found.erase(cut_off.begin(), cut_off.end());
+  return found;
+}
+
 const server_entry* router::ChooseGate(const journey& trip) {
+  const auto now = steady::now();
   const std::string version = options_.trials->ChooseVersion(trip.service);
-  const auto usable = [&](const std::string& wanted) {
-    std::vector<const server_entry*> found;
-    std::ranges::copy_if(options_.directory->Serving(trip.service),
-                         std::back_inserter(found),
-                         [&](const server_entry* each) {
-                           return each->server.version == wanted &&
-                                  !trip.ran_on.contains(each->instance) &&
-                                  !trip.refused.contains(each->instance);
-                         });
-    return found;
-  };
-  auto servers = usable(version);
+  auto servers = UsableServers(trip, version, now);
   if (servers.empty()) {
     const std::string other =
         options_.trials->OtherVersion(trip.service, version);
-    if (!other.empty()) servers = usable(other);
+    if (!other.empty()) servers = UsableServers(trip, other, now);
   }
   std::vector<gate_candidate> candidates(servers.size());
   std::ranges::transform(
@@ -294,7 +318,7 @@
             .slots = each->server.slots};
       });
   const auto chosen =
-      choice_.Choose(candidates, Typical(trip), options_.random, steady::now());
+      choice_.Choose(candidates, Typical(trip), options_.random, now);
   return chosen ? servers[chosen->index] : nullptr;
 }
 
@@ -366,12 +390,12 @@
                    const gate_outcome& outcome) {
   const auto now = steady::now();
   if (outcome.is_unreachable) {
-    choice_.OnUnreachable(to.instance, now);
-    pool_.Drop(to.gate);
+    OnUnreachable(to, now);
     return;
   }
   if (outcome.end == gate_end::kCancelled) return;
   if (outcome.status) {
+    reach_.OnReachable(to.data_centre);
     const gate_status& status = *outcome.status;
     choice_.OnReport(to.instance, status.load, now);
     options_.trials->OnStatus(trip.service, trip.route->name, status);
@@ -388,7 +412,51 @@
   const bool is_closed = outcome.end == gate_end::kNotRun &&
                          (outcome.reason == error_kind::kNoServer ||
                           outcome.reason == error_kind::kDraining);
-  if (is_closed) choice_.OnClosed(to.instance, kClosedAvoidance, now);
+  if (is_closed) {
+    const auto avoid = std::max<base::duration>(kClosedAvoidance, outcome.wait);
+    choice_.OnClosed(to.instance, avoid, now);
+  }
+}
+
+void router::OnUnreachable(const server_entry& gate, base::steady_instant now) {
+  pool_.Drop(gate.gate);
+  choice_.OnUnreachable(gate.instance);
+  const bool is_far = gate.data_centre != options_.data_centre;
+  const bool was_cut_off = reach_.IsCutOff(gate.data_centre, now);
+  if (is_far) reach_.OnUnreachable(gate.data_centre, gate.instance, now);
+  if (!was_cut_off && reach_.IsCutOff(gate.data_centre, now)) {
+    options_.log->Write(
+        event_weight::kState, "data_centre_cut_off",
+        {{"data_centre", gate.data_centre}, {"last_gate", gate.instance}});
+  }
+  const bool is_first = probed_.insert(gate.instance).second;
+  if (!is_first) return;
+  net::co_spawn(options_.executor, ProbeUntilReached(gate), net::detached);
+}
+
+net::awaitable<void> router::ProbeUntilReached(server_entry gate) {
+  net::steady_timer timer(options_.executor);
+  base::duration pause = kFirstProbe;
+  for (;;) {
+    const double part = (1 + base::Unit(options_.random())) / 2;
+    timer.expires_after(base::duration(
+        static_cast<std::int64_t>(static_cast<double>(pause.count()) * part)));
+    boost::system::error_code ignored;
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    const auto known = options_.directory->Entries().find(gate.instance);
+    const bool is_gone = known == options_.directory->Entries().end() ||
+                         known->second.gate != gate.gate;
+    if (is_gone) break;
+    const bool is_reached = co_await backend_servers::CanConnect(
+        options_.executor, gate.gate, kConnectTimeout);
+    if (is_reached) {
+      choice_.OnReachable(gate.instance);
+      reach_.OnReachable(gate.data_centre);
+      break;
+    }
+    pause = std::min<base::duration>(pause * 2, kLongestProbe);
+  }
+  probed_.erase(gate.instance);
 }
 
 base::duration router::Typical(const journey& trip) const {
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -17,6 +17,7 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "decisions/caller_patience.h"
+#include "decisions/data_centre_reach.h"
 #include "decisions/gate_choice.h"
 #include "decisions/repeat_budget.h"
 #include "decisions/route_index.h"
@@ -96,9 +97,19 @@
                                              const decisions::server_entry& to,
                                              const call_offer& offer);
   base::duration WaitLimit(const journey& trip, bool may_wait) const;
+  std::vector<const decisions::server_entry*> UsableServers(
+      const journey& trip, std::string_view version,
+      base::steady_instant now) const;
+
   // The gate to offer the request to next; null when there is none.
   const decisions::server_entry* ChooseGate(const journey& trip);
   bool MayRepeat(const journey& trip, const gate_outcome& outcome);
+  void OnUnreachable(const decisions::server_entry& gate,
+                     base::steady_instant now);
+
+  // Tries to connect to a gate until that works, or until no entry names it.
+  net::awaitable<void> ProbeUntilReached(decisions::server_entry gate);
+
   void Learn(const journey& trip, const decisions::server_entry& to,
              const gate_outcome& outcome);
   base::duration Typical(const journey& trip) const;
@@ -119,8 +130,10 @@
   decisions::repeat_budget budget_;
   std::map<std::string, base::duration, std::less<>> typical_;  // By route.
   decisions::caller_patience patience_;
-  std::map<std::string, std::string, std::less<>>
+  std::map<std::string, decisions::server_info, std::less<>>
       servers_seen_;  // By instance.
+  decisions::data_centre_reach reach_;
+  std::set<std::string, std::less<>> probed_;  // Instances being tried.
 };
 
 }  // namespace fireflyspar::proxy
