--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -49,7 +49,7 @@
 // Changes that come close together are read with one call. Those of the
 // configuration, which is long, gather for this part of the time within which
 // it has to be in force.
-constexpr double kGatherConfigurationsPart = 0.45;
+constexpr double kGatherConfigurationsPart = 0.55;
 constexpr milliseconds kGatherEntries{600};
 constexpr milliseconds kGatherRollouts{100};
 
--- a/src/proxy/object_follower.cc
+++ b/src/proxy/object_follower.cc
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 
 // The longest wait of one watch.
-constexpr milliseconds kWatchWait{25'000};
+constexpr milliseconds kWatchWait{30'000};
 
 // Between two tries at a store that does not answer; doubled each time, with
 // full jitter, up to the longest.
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -38,7 +38,7 @@
 constexpr double kFirstWaitLimit = 0.3;
 
 // A request that so many gates found no room for is refused.
-constexpr int kMostFullGates = 3;
+constexpr int kMostFullGates = 5;
 
 // Offers for one try, those to gates that can't be reached included.
 constexpr int kMostOffers = 8;
