--- a/src/app/entry_publisher.cc
+++ b/src/app/entry_publisher.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 
+#include "base/retry_delay.h"
 #include "proxy/entry_text.h"
 
 namespace fireflyspar::app {
@@ -14,10 +15,9 @@
 using base::event_weight;
 using std::chrono::milliseconds;
 
-// Between two tries at a store that does not answer; doubled each time.
+// Between two tries at a store that does not answer.
 constexpr milliseconds kFirstRetry{100};
 constexpr milliseconds kLongestRetry{1000};
-constexpr int kMostDoublings = 4;
 
 // Without anything to write; woken earlier by a change.
 constexpr milliseconds kIdle{60'000};
@@ -99,12 +99,8 @@
       failures = 0;
       continue;
     }
-    const base::duration longest = std::min<base::duration>(
-        kFirstRetry * (1 << std::min(failures++, kMostDoublings)),
-        kLongestRetry);
-    const double part = base::Unit(options_.random());
-    const base::duration pause(
-        static_cast<std::int64_t>(static_cast<double>(longest.count()) * part));
+    const base::duration pause = base::RetryDelay(
+        failures++, kFirstRetry, kLongestRetry, options_.random());
     co_await Wait(pause);
   }
 }
--- /dev/null
+++ b/src/proxy/gate_reach.h
@@ -0,0 +1,63 @@
+// Which gates can't be reached, and since whom it is known. A gate that failed
+// is tried again by connects of our own, so that no request waits for one that
+// fails; and where a whole data centre is cut off, a few failures tell of all
+// its gates.
+#ifndef FIREFLYSPAR_PROXY_GATE_REACH_H_
+#define FIREFLYSPAR_PROXY_GATE_REACH_H_
+
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "backend_servers/http.h"
+#include "base/event_log.h"
+#include "base/hooks.h"
+#include "decisions/data_centre_reach.h"
+#include "decisions/server_directory.h"
+
+namespace fireflyspar::proxy {
+
+namespace net = boost::asio;
+
+struct gate_reach_options {
+  net::any_io_executor executor;
+  base::random_hook random;
+  base::event_log* log = nullptr;
+  std::string data_centre;  // The own one, which is never taken for cut off.
+  const decisions::server_directory* directory = nullptr;
+  // A gate that could not be reached can be connected to again.
+  std::function<void(std::string_view instance)> on_reached;
+};
+
+class gate_reach {
+ public:
+  explicit gate_reach(gate_reach_options options)
+      : options_(std::move(options)) {}
+
+  void OnUnreachable(const decisions::server_entry& gate,
+                     base::steady_instant now);
+
+  // A gate of that data centre has answered.
+  void OnAnswer(std::string_view data_centre) {
+    data_centres_.OnReachable(data_centre);
+  }
+
+  bool IsCutOff(std::string_view data_centre, base::steady_instant now) const {
+    return data_centres_.IsCutOff(data_centre, now);
+  }
+
+ private:
+  // Tries to connect until that works, or until no entry names the gate.
+  net::awaitable<void> TryUntilReached(decisions::server_entry gate);
+
+  bool IsKnown(const decisions::server_entry& gate) const;
+
+  gate_reach_options options_;
+  decisions::data_centre_reach data_centres_;
+  std::set<std::string, std::less<>> tried_;  // Instances.
+};
+
+}  // namespace fireflyspar::proxy
+
+#endif  // FIREFLYSPAR_PROXY_GATE_REACH_H_
--- a/src/proxy/header_names.h
+++ b/src/proxy/header_names.h
@@ -18,10 +18,6 @@
   std::string expected_server = "fireflyspar-server";
   // In a backend server's answers: the request was not run.
   std::string not_run = "fireflyspar-not-run";
-  // In a backend server's answers: it made this answer by itself.
-  std::string stamp = "fireflyspar-stamp";
-  // In the answers to health checks: the id of the server.
-  std::string server_id = "fireflyspar-server-id";
 };
 
 }  // namespace fireflyspar::proxy
--- a/src/proxy/object_follower.cc
+++ b/src/proxy/object_follower.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "base/retry_delay.h"
+
 namespace fireflyspar::proxy {
 namespace {
 
@@ -13,11 +15,9 @@
 // The longest wait of one watch.
 constexpr milliseconds kWatchWait{30'000};
 
-// Between two tries at a store that does not answer; doubled each time, with
-// full jitter, up to the longest.
+// Between two tries at a store that does not answer.
 constexpr milliseconds kFirstRetry{100};
 constexpr milliseconds kLongestRetry{1000};
-constexpr int kMostDoublings = 4;
 
 // A store that says it has too many calls is left alone for longer.
 constexpr int kOverRateFactor = 2;
@@ -56,7 +56,6 @@
   }
   failures_in_row_ = 0;
   revision_ = listed->revision;
-  has_list_ = true;
   options_.on_list(listed->objects);
   co_return true;
 }
@@ -110,16 +109,10 @@
 }
 
 base::duration object_follower::RetryPause(const base::failure& failure) {
-  base::duration longest = std::min<base::duration>(
-      kFirstRetry * (1 << std::min(failures_in_row_, kMostDoublings)),
-      kLongestRetry);
-  ++failures_in_row_;
-  if (failure.Kind() == error_kind::kPlatformOverRate) {
-    longest *= kOverRateFactor;
-  }
-  const double part = base::Unit(options_.random());
-  return base::duration(
-      static_cast<std::int64_t>(static_cast<double>(longest.count()) * part));
+  const bool is_over_rate = failure.Kind() == error_kind::kPlatformOverRate;
+  return base::RetryDelay(failures_in_row_++, kFirstRetry, kLongestRetry,
+                          options_.random()) *
+         (is_over_rate ? kOverRateFactor : 1);
 }
 
 }  // namespace fireflyspar::proxy
--- a/src/proxy/object_follower.h
+++ b/src/proxy/object_follower.h
@@ -51,9 +51,6 @@
   // Begins anew with a list.
   void Restart();
 
-  // Whether a list has been read since the process started.
-  bool HasList() const { return has_list_; }
-
  private:
   net::awaitable<bool> List();
   net::awaitable<bool> Watch();
@@ -65,7 +62,6 @@
   net::steady_timer pause_;
   std::shared_ptr<backend_servers::cancellation> watch_;
   std::uint64_t revision_ = 0;
-  bool has_list_ = false;
   bool is_suspended_ = false;
   int failures_in_row_ = 0;
 };
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -1,11 +1,6 @@
 #include "proxy/router.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <chrono>
 #include <cmath>
@@ -56,11 +51,6 @@
 // long it will be.
 constexpr milliseconds kClosedAvoidance{250};
 
-// Between two tries to connect to a gate that could not be reached, doubled
-// each time up to the longest. No request waits for them.
-constexpr milliseconds kFirstProbe{300};
-constexpr milliseconds kLongestProbe{2400};
-
 // Typical time at a server before any answer: this part of the objective.
 constexpr int kObjectivePart = 3;
 constexpr milliseconds kFirstTypical{50};
@@ -138,7 +128,15 @@
 router::router(router_options options)
     : options_(std::move(options)),
       pool_(options_.executor),
-      budget_(options_.budget) {}
+      budget_(options_.budget),
+      reach_({.executor = options_.executor,
+              .random = options_.random,
+              .log = options_.log,
+              .data_centre = options_.data_centre,
+              .directory = options_.directory,
+              .on_reached = [this](std::string_view instance) {
+                choice_.OnReachable(instance);
+              }}) {}
 
 void router::SetConfiguration(config::mesh_configuration_ptr next) {
   routes_ = std::make_shared<const decisions::route_index>(std::move(next));
@@ -390,12 +388,14 @@
                    const gate_outcome& outcome) {
   const auto now = steady::now();
   if (outcome.is_unreachable) {
-    OnUnreachable(to, now);
+    pool_.Drop(to.gate);
+    choice_.OnUnreachable(to.instance);
+    reach_.OnUnreachable(to, now);
     return;
   }
   if (outcome.end == gate_end::kCancelled) return;
   if (outcome.status) {
-    reach_.OnReachable(to.data_centre);
+    reach_.OnAnswer(to.data_centre);
     const gate_status& status = *outcome.status;
     choice_.OnReport(to.instance, status.load, now);
     options_.trials->OnStatus(trip.service, trip.route->name, status);
@@ -418,47 +418,6 @@
   }
 }
 
-void router::OnUnreachable(const server_entry& gate, base::steady_instant now) {
-  pool_.Drop(gate.gate);
-  choice_.OnUnreachable(gate.instance);
-  const bool is_far = gate.data_centre != options_.data_centre;
-  const bool was_cut_off = reach_.IsCutOff(gate.data_centre, now);
-  if (is_far) reach_.OnUnreachable(gate.data_centre, gate.instance, now);
-  if (!was_cut_off && reach_.IsCutOff(gate.data_centre, now)) {
-    options_.log->Write(
-        event_weight::kState, "data_centre_cut_off",
-        {{"data_centre", gate.data_centre}, {"last_gate", gate.instance}});
-  }
-  const bool is_first = probed_.insert(gate.instance).second;
-  if (!is_first) return;
-  net::co_spawn(options_.executor, ProbeUntilReached(gate), net::detached);
-}
-
-net::awaitable<void> router::ProbeUntilReached(server_entry gate) {
-  net::steady_timer timer(options_.executor);
-  base::duration pause = kFirstProbe;
-  for (;;) {
-    const double part = (1 + base::Unit(options_.random())) / 2;
-    timer.expires_after(base::duration(
-        static_cast<std::int64_t>(static_cast<double>(pause.count()) * part)));
-    boost::system::error_code ignored;
-    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
-    const auto known = options_.directory->Entries().find(gate.instance);
-    const bool is_gone = known == options_.directory->Entries().end() ||
-                         known->second.gate != gate.gate;
-    if (is_gone) break;
-    const bool is_reached = co_await backend_servers::CanConnect(
-        options_.executor, gate.gate, kConnectTimeout);
-    if (is_reached) {
-      choice_.OnReachable(gate.instance);
-      reach_.OnReachable(gate.data_centre);
-      break;
-    }
-    pause = std::min<base::duration>(pause * 2, kLongestProbe);
-  }
-  probed_.erase(gate.instance);
-}
-
 base::duration router::Typical(const journey& trip) const {
   const auto known = typical_.find(trip.route->name);
   if (known != typical_.end()) return known->second;
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -17,12 +17,12 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "decisions/caller_patience.h"
-#include "decisions/data_centre_reach.h"
 #include "decisions/gate_choice.h"
 #include "decisions/repeat_budget.h"
 #include "decisions/route_index.h"
 #include "decisions/server_directory.h"
 #include "proxy/gate.h"
+#include "proxy/gate_reach.h"
 #include "proxy/header_names.h"
 #include "proxy/listener.h"
 #include "proxy/rollouts.h"
@@ -104,12 +104,6 @@
   // The gate to offer the request to next; null when there is none.
   const decisions::server_entry* ChooseGate(const journey& trip);
   bool MayRepeat(const journey& trip, const gate_outcome& outcome);
-  void OnUnreachable(const decisions::server_entry& gate,
-                     base::steady_instant now);
-
-  // Tries to connect to a gate until that works, or until no entry names it.
-  net::awaitable<void> ProbeUntilReached(decisions::server_entry gate);
-
   void Learn(const journey& trip, const decisions::server_entry& to,
              const gate_outcome& outcome);
   base::duration Typical(const journey& trip) const;
@@ -132,8 +126,7 @@
   decisions::caller_patience patience_;
   std::map<std::string, decisions::server_info, std::less<>>
       servers_seen_;  // By instance.
-  decisions::data_centre_reach reach_;
-  std::set<std::string, std::less<>> probed_;  // Instances being tried.
+  gate_reach reach_;
 };
 
 }  // namespace fireflyspar::proxy
