--- /dev/null
+++ b/tests/adapter/store_client_test.cc
@@ -0,0 +1,189 @@
+#include "platform/store_client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+
+#include "store_stand_in.h"
+
+namespace fireflyspar::platform {
+namespace {
+
+using base::error_kind;
+using nlohmann::json;
+using proxy::stored_object;
+using std::chrono::milliseconds;
+
+constexpr char kKind[] = "things";
+
+struct client_fixture {
+  // Runs the loop until the call has ended.
+  template <typename T>
+  base::result<T> Wait(proxy::async_result<T> call) {
+    std::optional<base::result<T>> ended;
+    net::co_spawn(
+        loop,
+        [&call, &ended]() -> net::awaitable<void> {
+          base::result<T> result = co_await std::move(call);
+          ended.emplace(std::move(result));
+        },
+        net::detached);
+    loop.restart();
+    while (!ended) loop.run_one();
+    return std::move(*ended);
+  }
+
+  net::io_context loop;
+  base::metrics metrics;
+  store_stand_in store{loop};
+  store_client client{{.executor = loop.get_executor(),
+                       .address = store.Address(),
+                       .metrics = &metrics}};
+  proxy::object_store hooks = client.Hooks();
+};
+
+TEST_CASE("a list of several pages is read whole") {
+  client_fixture fixture;
+  fixture.store.SetPageSize(2);
+  for (const char* name : {"a", "b", "c", "d", "e"}) {
+    fixture.store.Put(kKind, name, {{"n", name}});
+  }
+  const auto listed = fixture.Wait(fixture.hooks.list(kKind));
+  REQUIRE(listed);
+  CHECK(listed->objects.size() == 5);
+  CHECK(listed->objects.back().name == "e");
+  CHECK(listed->objects.back().content == json{{"n", "e"}});
+}
+
+TEST_CASE("a kind without objects is an empty list") {
+  client_fixture fixture;
+  const auto listed = fixture.Wait(fixture.hooks.list(kKind));
+  REQUIRE(listed);
+  CHECK(listed->objects.empty());
+  CHECK(listed->revision > 0);
+}
+
+TEST_CASE("a watch tells what changed after its revision") {
+  client_fixture fixture;
+  const std::uint64_t before = fixture.store.Put(kKind, "a", {{"n", 1}});
+  fixture.store.Put(kKind, "a", {{"n", 2}});
+  fixture.store.Remove(kKind, "a");
+  backend_servers::cancellation never;
+  const auto heard = fixture.Wait(
+      fixture.hooks.watch(kKind, before, milliseconds(1000), false, never));
+  REQUIRE(heard);
+  REQUIRE(heard->changes.size() == 2);
+  CHECK(heard->changes[0].object.content == json{{"n", 2}});
+  CHECK(heard->changes[1].is_removal);
+  CHECK(heard->revision == before + 2);
+}
+
+TEST_CASE("a watch without changes ends empty after its time") {
+  client_fixture fixture;
+  backend_servers::cancellation never;
+  const auto heard = fixture.Wait(
+      fixture.hooks.watch(kKind, 10, milliseconds(30), false, never));
+  REQUIRE(heard);
+  CHECK(heard->changes.empty());
+}
+
+TEST_CASE("a watch from a forgotten revision says that the history is gone") {
+  client_fixture fixture;
+  const std::uint64_t before = fixture.store.Put(kKind, "a", {{"n", 1}});
+  fixture.store.Put(kKind, "a", {{"n", 2}});
+  fixture.store.ForgetHistory();
+  backend_servers::cancellation never;
+  const auto heard = fixture.Wait(
+      fixture.hooks.watch(kKind, before, milliseconds(1000), false, never));
+  REQUIRE_FALSE(heard);
+  CHECK(heard.Failure().Kind() == error_kind::kHistoryGone);
+}
+
+TEST_CASE("a watch that may be late and the probe ask for stale reads") {
+  client_fixture fixture;
+  fixture.store.Put(kKind, "a", {{"n", 1}});
+  backend_servers::cancellation never;
+  fixture.Wait(fixture.hooks.watch(kKind, 1, milliseconds(10), true, never));
+  CHECK(fixture.store.Targets().back().ends_with("&allow_stale=1"));
+  CHECK(fixture.Wait(fixture.hooks.probe(milliseconds(1000))));
+  CHECK(fixture.store.Targets().back().ends_with("?allow_stale=1"));
+}
+
+TEST_CASE("an object is made once") {
+  client_fixture fixture;
+  const stored_object made{.name = "a", .content = {{"n", 1}}};
+  const auto written = fixture.Wait(fixture.hooks.put_content(kKind, made));
+  REQUIRE(written);
+  CHECK(written->revision > 0);
+  const auto again = fixture.Wait(fixture.hooks.put_content(kKind, made));
+  REQUIRE_FALSE(again);
+  CHECK(again.Failure().Kind() == error_kind::kConflict);
+}
+
+TEST_CASE("of two writes on one revision the first stands") {
+  client_fixture fixture;
+  const std::uint64_t revision = fixture.store.Put(kKind, "a", {{"n", 1}});
+  stored_object mine{.name = "a", .revision = revision, .content = {{"n", 2}}};
+  REQUIRE(fixture.Wait(fixture.hooks.put_content(kKind, mine)));
+  mine.content = {{"n", 3}};
+  const auto second = fixture.Wait(fixture.hooks.put_content(kKind, mine));
+  REQUIRE_FALSE(second);
+  CHECK(second.Failure().Kind() == error_kind::kConflict);
+  CHECK((*fixture.store.Find(kKind, "a"))["spec"] == json{{"n", 2}});
+}
+
+TEST_CASE("a status is written without touching the content") {
+  client_fixture fixture;
+  const std::uint64_t revision = fixture.store.Put(kKind, "a", {{"n", 1}});
+  const stored_object changed{
+      .name = "a", .revision = revision, .status = {{"state", "well"}}};
+  REQUIRE(fixture.Wait(fixture.hooks.put_status(kKind, changed)));
+  const json stored = *fixture.store.Find(kKind, "a");
+  CHECK(stored["spec"] == json{{"n", 1}});
+  CHECK(stored["status"] == json{{"state", "well"}});
+}
+
+TEST_CASE("an object is removed only on the revision that is named") {
+  client_fixture fixture;
+  const std::uint64_t revision = fixture.store.Put(kKind, "a", {{"n", 1}});
+  const auto wrong =
+      fixture.Wait(fixture.hooks.remove(kKind, "a", revision - 1));
+  REQUIRE_FALSE(wrong);
+  CHECK(wrong.Failure().Kind() == error_kind::kConflict);
+  CHECK(fixture.Wait(fixture.hooks.remove(kKind, "a", revision)));
+  CHECK_FALSE(fixture.store.Find(kKind, "a"));
+}
+
+TEST_CASE("an object that does not exist is not found") {
+  client_fixture fixture;
+  const auto found = fixture.Wait(fixture.hooks.get(kKind, "a"));
+  REQUIRE_FALSE(found);
+  CHECK(found.Failure().Kind() == error_kind::kNotFound);
+}
+
+TEST_CASE("a store over its rate and one that is away are told apart") {
+  client_fixture fixture;
+  fixture.store.Refuse(429, 1);
+  const auto over = fixture.Wait(fixture.hooks.list(kKind));
+  REQUIRE_FALSE(over);
+  CHECK(over.Failure().Kind() == error_kind::kPlatformOverRate);
+  fixture.store.Refuse(503, 1);
+  const auto away = fixture.Wait(fixture.hooks.list(kKind));
+  REQUIRE_FALSE(away);
+  CHECK(away.Failure().Kind() == error_kind::kPlatformUnavailable);
+}
+
+TEST_CASE("a write whose answer is lost may have been done") {
+  client_fixture fixture;
+  fixture.store.LoseNextAnswer();
+  const stored_object made{.name = "a", .content = {{"n", 1}}};
+  const auto written = fixture.Wait(fixture.hooks.put_content(kKind, made));
+  REQUIRE_FALSE(written);
+  CHECK(written.Failure().Kind() == error_kind::kAnswerLost);
+  CHECK(fixture.store.Find(kKind, "a"));
+}
+
+}  // namespace
+}  // namespace fireflyspar::platform
--- /dev/null
+++ b/tests/adapter/store_stand_in.h
@@ -0,0 +1,92 @@
+// A stand-in of the users' store, in memory and on loopback, by their published
+// protocol: objects by kind and name, one revision counter, conditional writes,
+// lists in pages, watches from a revision and a history that can be forgotten.
+// Tests make it refuse calls, or do them and lose the answer.
+#ifndef FIREFLYSPAR_TESTS_ADAPTER_STORE_STAND_IN_H_
+#define FIREFLYSPAR_TESTS_ADAPTER_STORE_STAND_IN_H_
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "proxy/listener.h"
+
+namespace fireflyspar::platform {
+
+namespace net = boost::asio;
+
+class store_stand_in {
+ public:
+  explicit store_stand_in(net::io_context& loop);
+
+  const base::address& Address() const { return address_; }
+
+  // A write by someone else; gives the object's revision.
+  std::uint64_t Put(const std::string& kind, const std::string& name,
+                    const nlohmann::json& spec);
+  void Remove(const std::string& kind, const std::string& name);
+
+  // The next calls are answered with this status and not done.
+  void Refuse(unsigned status, int calls) {
+    refusal_ = status;
+    refusals_left_ = calls;
+  }
+
+  // The next write is done and its answer lost.
+  void LoseNextAnswer() { loses_answer_ = true; }
+
+  // Watches from before now find that history gone.
+  void ForgetHistory() { forgotten_until_ = revision_; }
+
+  void SetPageSize(std::size_t size) { page_size_ = size; }
+  const std::vector<std::string>& Targets() const { return targets_; }
+  std::optional<nlohmann::json> Find(const std::string& kind,
+                                     const std::string& name) const;
+
+ private:
+  struct event {
+    std::uint64_t revision = 0;
+    std::string kind;
+    nlohmann::json object;
+    bool is_removal = false;
+  };
+
+  struct call_parts {
+    std::string kind;
+    std::string name;
+    bool is_status = false;
+    std::map<std::string, std::string> query;
+  };
+
+  static call_parts Parse(std::string_view target);
+
+  net::awaitable<backend_servers::http_response> Serve(
+      proxy::served_call& call);
+  net::awaitable<backend_servers::http_response> Watch(call_parts parts);
+  backend_servers::http_response List(const call_parts& parts) const;
+  backend_servers::http_response Write(
+      const backend_servers::http_request& request, const call_parts& parts);
+  backend_servers::http_response Delete(const call_parts& parts);
+  std::uint64_t Store(const std::string& kind, nlohmann::json object);
+
+  net::io_context& loop_;
+  base::address address_;
+  std::unique_ptr<proxy::listener> listener_;
+  std::map<std::string, std::map<std::string, nlohmann::json>> kinds_;
+  std::vector<event> history_;
+  std::uint64_t revision_ = 10;
+  std::uint64_t forgotten_until_ = 0;
+  std::size_t page_size_ = 500;
+  unsigned refusal_ = 0;
+  int refusals_left_ = 0;
+  bool loses_answer_ = false;
+  std::vector<std::string> targets_;
+};
+
+}  // namespace fireflyspar::platform
+
+#endif  // FIREFLYSPAR_TESTS_ADAPTER_STORE_STAND_IN_H_
