--- a/src/proxy/gate_reach.h
+++ b/src/proxy/gate_reach.h
@@ -1,7 +1,6 @@
-// Which gates can't be reached, and since whom it is known. A gate that failed
-// is tried again by connects of our own, so that no request waits for one that
-// fails; and where a whole data centre is cut off, a few failures tell of all
-// its gates.
+// Which gates can't be reached. A gate that failed is tried again by connects
+// of our own, so that no request waits for one that fails; and where a whole
+// data centre is cut off, a few failures tell of all its gates.
 #ifndef FIREFLYSPAR_PROXY_GATE_REACH_H_
 #define FIREFLYSPAR_PROXY_GATE_REACH_H_
 
