--- a/src/app/entry_publisher.cc
+++ b/src/app/entry_publisher.cc
@@ -78,19 +78,10 @@
   co_return false;
 }
 
-net::awaitable<void> entry_publisher::WaitUntilWritten(base::duration limit) {
-  if (!IsDue()) co_return;
-  written_.expires_after(limit);
-  boost::system::error_code ignored;
-  co_await written_.async_wait(
-      net::redirect_error(net::use_awaitable, ignored));
-}
-
 net::awaitable<void> entry_publisher::Run() {
   int failures = 0;
   for (;;) {
     if (!IsDue()) {
-      written_.cancel();
       co_await Wait(kIdle);
       continue;
     }
--- a/src/app/entry_publisher.h
+++ b/src/app/entry_publisher.h
@@ -29,9 +29,7 @@
 class entry_publisher {
  public:
   explicit entry_publisher(entry_publisher_options options)
-      : options_(std::move(options)),
-        changed_(options_.executor),
-        written_(options_.executor) {}
+      : options_(std::move(options)), changed_(options_.executor) {}
 
   // What the store is to say from now on.
   void Set(const decisions::server_entry& wanted);
@@ -42,9 +40,6 @@
   // Tries at once what could not be written so far.
   void Retry() { changed_.cancel(); }
 
-  // Returns when the store says what it is to say, or after `limit`.
-  net::awaitable<void> WaitUntilWritten(base::duration limit);
-
   net::awaitable<void> Run();
 
   // Takes the entry away, for a server that is gone for good. Tried once.
@@ -57,7 +52,6 @@
 
   entry_publisher_options options_;
   net::steady_timer changed_;
-  net::steady_timer written_;  // Ends when nothing is due any more.
   std::optional<nlohmann::json> wanted_;
   proxy::stored_object stored_;
   bool is_withdrawn_ = false;
--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -55,10 +55,6 @@
 
 constexpr milliseconds kDeadPeerTimeout{1500};
 
-// How long the answer to a server that leaves waits for its entry to say so in
-// the store. The next process here, should this one die, then knows it too.
-constexpr milliseconds kLeavingWriteWait{300};
-
 http_response PlainAnswer(http::status status, std::string text) {
   http_response answer(status, 11);
   answer.set(http::field::content_type, "text/plain");
@@ -366,10 +362,6 @@
   } else {
     gate_.OnLeave(decoded->server_id);
   }
-  const auto& server = gate_.Server();
-  const bool leaves =
-      server && server->condition == decisions::server_condition::kDraining;
-  if (leaves) co_await publisher_.WaitUntilWritten(kLeavingWriteWait);
   co_return EmptyAnswer(http::status::ok);
 }
 
@@ -448,13 +440,9 @@
 }
 
 bool proxy_process::PutEntry(const proxy::stored_object& object) {
-  const bool is_own = object.name == settings_.instance;
-  if (is_own) publisher_.OnStored(object);
+  if (object.name == settings_.instance) publisher_.OnStored(object);
   const auto entry = proxy::ParseEntry(object.name, object.content);
   if (entry) {
-    if (is_own && entry->gate == settings_.gate) {
-      gate_.Resume(entry->server, settings_.server);
-    }
     // Whoever had this address before is gone for good.
     const bool has_own_address =
         entry->gate == settings_.gate && entry->instance != settings_.instance;
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -28,10 +28,6 @@
 // A server that has not reported for so long counts as gone.
 constexpr milliseconds kSilence{5000};
 
-// One that is only known from the store has so long to report; a little more
-// than the time between two reports.
-constexpr milliseconds kResumedSilence{2000};
-
 // What a gate whose server leaves says of when to come back. Routers hear of a
 // next server here from its entry.
 constexpr milliseconds kLeftWait{10'000};
@@ -94,7 +90,6 @@
     pace_ = report.cold_left.count() > 0 ? kColdPace : 1;
     pool_.Drop(address_);
   }
-  may_resume_ = false;
   sequence_ = report.sequence;
   address_ = report.address;
   heard_ = now;
@@ -118,20 +113,6 @@
   return true;
 }
 
-void gate::Resume(const decisions::server_info& server,
-                  const base::address& address) {
-  const bool is_serving = server.condition == server_condition::kServing;
-  if (!may_resume_ || !is_serving) return;
-  may_resume_ = false;
-  server_ = server;
-  address_ = address;
-  sequence_ = 0;
-  heard_ = steady::now() - (kSilence - kResumedSilence);
-  options_.log->Write(event_weight::kState, "server_resumed",
-                      {{"server", server.id}, {"service", server.service}});
-  Apply();
-}
-
 void gate::OnLeave(std::string_view server_id) {
   if (!server_ || server_->id != server_id) return;
   has_left_ = true;
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -49,13 +49,6 @@
   // Takes a report in; false when it is older than what is known.
   bool OnReport(const server_report& report);
 
-  // Opens the gate for the server that stood here when the store was last told,
-  // so that the start of this process costs no time at a server that runs on.
-  // For a moment only: until the server reports itself, or does not. Without
-  // effect once any server was known here.
-  void Resume(const decisions::server_info& server,
-              const base::address& address);
-
   // The server said that it leaves. It gets nothing new from now on.
   void OnLeave(std::string_view server_id);
 
@@ -121,7 +114,6 @@
   std::uint64_t sequence_ = 0;
   base::steady_instant heard_;
   base::steady_instant cold_until_;
-  bool may_resume_ = true;  // No server was known to this process yet.
   bool has_left_ = false;
   bool is_closed_ = false;
   bool is_misaddressed_ = false;  // Another server answers at the address.
--- a/tests/proxy/gate_test.cc
+++ b/tests/proxy/gate_test.cc
@@ -1,25 +1,52 @@
 #include "proxy/gate.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
 namespace fireflyspar::proxy {
 namespace {
 
 using decisions::server_condition;
+using std::chrono::milliseconds;
 
-decisions::server_info Server() {
+decisions::server_info Server(server_condition condition) {
   return {.id = "i-1",
           .service = "stock",
           .version = "v1",
           .slots = 6,
-          .condition = server_condition::kServing,
+          .condition = condition,
           .born_ms = 1000};
 }
 
-const base::address kServerAddress{.ip = "127.0.0.1", .port = 8080};
+const base::address kServerAddress{.ip = "127.0.0.1", .port = 9};
 
 struct gate_fixture {
+  // What becomes of a request that is offered now.
+  gate_outcome Offer() {
+    gate_outcome outcome;
+    backend_servers::http_request request;
+    backend_servers::cancellation never;
+    const call_offer offer{.service = "stock",
+                           .version = "v1",
+                           .route = "r-1",
+                           .wait_limit = milliseconds(100),
+                           .left = milliseconds(100),
+                           .objective_left = milliseconds(100),
+                           .typical = milliseconds(10)};
+    net::co_spawn(
+        loop,
+        [&]() -> net::awaitable<void> {
+          outcome = co_await tested.Run(offer, request, nullptr, never);
+        },
+        net::detached);
+    loop.restart();
+    loop.run();
+    return outcome;
+  }
+
   net::io_context loop;
   base::metrics metrics;
   base::event_log log{
@@ -32,55 +59,50 @@
                .on_change = [this](const auto&) { ++changes; }}};
 };
 
-// The pattern: processes are stopped and started again in turn while the
-// servers beside them run on. Each waited for its server's next report.
-TEST_CASE("a gate resumes with the server that the store names") {
-  gate_fixture fixture;
-  fixture.tested.Resume(Server(), kServerAddress);
-  REQUIRE(fixture.tested.Server());
-  CHECK(fixture.tested.Server()->id == "i-1");
-}
-
-TEST_CASE("what is resumed is not told to the store again") {
-  gate_fixture fixture;
-  fixture.tested.Resume(Server(), kServerAddress);
-  CHECK(fixture.changes == 0);
-}
-
-TEST_CASE("a gate does not resume with a server that was leaving") {
+// The pattern: a server says that it leaves and is told so, its proxy is killed
+// and started again, and the store has not heard of it. Whatever the store says
+// of the server, only its own report opens the gate.
+TEST_CASE("a gate that no server has reported to lets nothing in") {
   gate_fixture fixture;
-  decisions::server_info leaving = Server();
-  leaving.condition = server_condition::kDraining;
-  fixture.tested.Resume(leaving, kServerAddress);
-  CHECK_FALSE(fixture.tested.Server());
+  const gate_outcome outcome = fixture.Offer();
+  CHECK(outcome.end == gate_end::kNotRun);
+  CHECK(outcome.reason == base::error_kind::kNoServer);
+  CHECK_FALSE(outcome.has_reached_server);
 }
 
-TEST_CASE("the first report of a resumed server counts") {
+TEST_CASE("a gate whose server leaves lets nothing in and says for how long") {
   gate_fixture fixture;
-  fixture.tested.Resume(Server(), kServerAddress);
-  decisions::server_info leaving = Server();
-  leaving.condition = server_condition::kDraining;
-  CHECK(fixture.tested.OnReport(
-      {.server = leaving, .address = kServerAddress, .sequence = 1}));
-  CHECK(fixture.tested.Server()->condition == server_condition::kDraining);
+  fixture.tested.OnReport({.server = Server(server_condition::kServing),
+                           .address = kServerAddress,
+                           .sequence = 1});
+  fixture.tested.OnLeave("i-1");
+  const gate_outcome outcome = fixture.Offer();
+  CHECK(outcome.end == gate_end::kNotRun);
+  CHECK(outcome.reason == base::error_kind::kDraining);
+  CHECK(outcome.wait >= std::chrono::seconds(5));
 }
 
-TEST_CASE("a gate that a server reported to does not resume another") {
+TEST_CASE("a report after the word to leave does not open the gate again") {
   gate_fixture fixture;
-  decisions::server_info reported = Server();
-  reported.id = "i-2";
-  reported.born_ms = 500;
-  fixture.tested.OnReport(
-      {.server = reported, .address = kServerAddress, .sequence = 1});
-  fixture.tested.Resume(Server(), kServerAddress);
-  CHECK(fixture.tested.Server()->id == "i-2");
+  fixture.tested.OnReport({.server = Server(server_condition::kServing),
+                           .address = kServerAddress,
+                           .sequence = 1});
+  fixture.tested.OnLeave("i-1");
+  fixture.tested.OnReport({.server = Server(server_condition::kServing),
+                           .address = kServerAddress,
+                           .sequence = 2});
+  CHECK(fixture.Offer().reason == base::error_kind::kDraining);
 }
 
-TEST_CASE("a resumed server that leaves is closed at once") {
+TEST_CASE("a proxy that is ending says nothing of its server") {
   gate_fixture fixture;
-  fixture.tested.Resume(Server(), kServerAddress);
-  fixture.tested.OnLeave("i-1");
-  CHECK(fixture.tested.Server()->condition == server_condition::kDraining);
+  fixture.tested.OnReport({.server = Server(server_condition::kServing),
+                           .address = kServerAddress,
+                           .sequence = 1});
+  fixture.tested.Close();
+  const gate_outcome outcome = fixture.Offer();
+  CHECK(outcome.reason == base::error_kind::kDraining);
+  CHECK(outcome.wait == base::duration(0));
 }
 
 }  // namespace
