Keep the leaving of a server that has not reported to this process yet

Change: leavings of servers not known here are kept by id; a report of that id opens the gate only when its start is later. Test: "a server that left before its first report stays out", which fails without the change.

--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -159,6 +159,7 @@
   return {
       .executor = executor_,
       .headers = adapter_.headers,
+      .clock = clock_,
       .metrics = &metrics_,
       .log = &log_,
       .on_change = [this](const std::optional<decisions::server_info>& server) {
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -83,7 +83,7 @@
   if (is_same_start && report.sequence <= sequence_) return false;
   const auto now = steady::now();
   if (!is_same_start) {
-    has_left_ = false;
+    has_left_ = HasLeftBefore(report.server);
     is_misaddressed_ = false;
     counts_.clear();
     failing_share_ = 0;
@@ -113,8 +113,25 @@
   return true;
 }
 
+// A server may start again under the id that it had; that start is not the one
+// that left.
+bool gate::HasLeftBefore(const decisions::server_info& server) {
+  const auto leave = early_leaves_.find(server.id);
+  if (leave == early_leaves_.end()) return false;
+  const bool is_new_start = server.born_ms > leave->second;
+  if (is_new_start) early_leaves_.erase(leave);
+  return !is_new_start;
+}
+
 void gate::OnLeave(std::string_view server_id) {
-  if (!server_ || server_->id != server_id) return;
+  if (!server_ || server_->id != server_id) {
+    const auto now = options_.clock().time_since_epoch();
+    early_leaves_[std::string(server_id)] =
+        std::chrono::duration_cast<milliseconds>(now).count();
+    options_.log->Write(event_weight::kState, "server_leaving",
+                        {{"server", std::string(server_id)}});
+    return;
+  }
   has_left_ = true;
   if (server_->condition == server_condition::kDraining) return;
   server_->condition = server_condition::kDraining;
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -36,6 +36,7 @@
 struct gate_options {
   net::any_io_executor executor;
   header_names headers;
+  base::clock_hook clock;
   base::metrics* metrics = nullptr;
   base::event_log* log = nullptr;
   // Told when the server's published part changes; nothing when it is gone.
@@ -49,7 +50,8 @@
   // Takes a report in; false when it is older than what is known.
   bool OnReport(const server_report& report);
 
-  // The server said that it leaves. It gets nothing new from now on.
+  // The server said that it leaves. It gets nothing new from now on, also when
+  // it has not reported to this process yet.
   void OnLeave(std::string_view server_id);
 
   // Called a few times a second: notices a server that stopped reporting.
@@ -99,6 +101,7 @@
                   const backend_servers::http_request& request,
                   const gate_outcome& outcome, base::duration waited);
   gate_status Status(const std::string& route, base::duration took) const;
+  bool HasLeftBefore(const decisions::server_info& server);
   bool IsCold(base::steady_instant now) const { return now < cold_until_; }
   void Apply();
 
@@ -115,6 +118,9 @@
   base::steady_instant heard_;
   base::steady_instant cold_until_;
   bool has_left_ = false;
+  // Servers that left without having reported here, by id, and the Unix time of
+  // it in milliseconds. Reports that were sent before may still come.
+  std::map<std::string, std::int64_t, std::less<>> early_leaves_;
   bool is_closed_ = false;
   bool is_misaddressed_ = false;  // Another server answers at the address.
 
--- a/tests/proxy/gate_test.cc
+++ b/tests/proxy/gate_test.cc
@@ -53,15 +53,14 @@
       {.write = [](std::string_view bytes) { return bytes.size(); },
        .clock = base::SystemClock()}};
   int changes = 0;
+  base::instant now{std::chrono::milliseconds(5000)};
   gate tested{{.executor = loop.get_executor(),
+               .clock = [this] { return now; },
                .metrics = &metrics,
                .log = &log,
                .on_change = [this](const auto&) { ++changes; }}};
 };
 
-// The pattern: a server says that it leaves and is told so, its proxy is killed
-// and started again, and the store has not heard of it. Whatever the store says
-// of the server, only its own report opens the gate.
 TEST_CASE("a gate that no server has reported to lets nothing in") {
   gate_fixture fixture;
   const gate_outcome outcome = fixture.Offer();
@@ -94,6 +93,27 @@
   CHECK(fixture.Offer().reason == base::error_kind::kDraining);
 }
 
+// The pattern: a proxy is stopped and started, its server says that it leaves
+// before it reports, and an earlier report arrives seconds late.
+TEST_CASE("a server that left before its first report stays out") {
+  gate_fixture fixture;
+  fixture.tested.OnLeave("i-1");
+  fixture.tested.OnReport({.server = Server(server_condition::kServing),
+                           .address = kServerAddress,
+                           .sequence = 13});
+  CHECK(fixture.Offer().reason == base::error_kind::kDraining);
+}
+
+TEST_CASE("a server that starts again after it left is let in") {
+  gate_fixture fixture;
+  fixture.tested.OnLeave("i-1");
+  decisions::server_info again = Server(server_condition::kServing);
+  again.born_ms = 6000;
+  fixture.tested.OnReport(
+      {.server = again, .address = kServerAddress, .sequence = 1});
+  CHECK(fixture.tested.Server()->condition == server_condition::kServing);
+}
+
 TEST_CASE("a proxy that is ending says nothing of its server") {
   gate_fixture fixture;
   fixture.tested.OnReport({.server = Server(server_condition::kServing),
