--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -11,6 +11,22 @@
     PROPERTIES COMPILE_OPTIONS "-w" SKIP_LINTING ON)
 endfunction()
 
+# The tests of a program that KNOWN-RED.txt names, as Catch2's words for leaving
+# them out. Without that file, or a line for the program, nothing is left out.
+function(fireflyspar_known_red program result)
+  set(words)
+  set(list_file ${PROJECT_SOURCE_DIR}/KNOWN-RED.txt)
+  if(EXISTS ${list_file})
+    set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${list_file})
+    file(STRINGS ${list_file} lines REGEX "^test ${program}: ")
+    foreach(line IN LISTS lines)
+      string(REGEX REPLACE "^test ${program}: " "~" word "${line}")
+      list(APPEND words "${word}")
+    endforeach()
+  endif()
+  set(${result} ${words} PARENT_SCOPE)
+endfunction()
+
 # One Catch2 program for each library: every tests/<name>/*.cc file.
 function(fireflyspar_test name)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cc)
@@ -21,7 +37,8 @@
   target_link_libraries(${name}_test PRIVATE ${ARGN} Catch2::Catch2 rapidcheck)
   target_compile_definitions(${name}_test PRIVATE
     FIREFLYSPAR_SOURCE_DIR="${PROJECT_SOURCE_DIR}" FIREFLYSPAR_BINARY_DIR="${PROJECT_BINARY_DIR}")
-  add_test(NAME ${name} COMMAND ${name}_test)
+  fireflyspar_known_red(${name} passed_over)
+  add_test(NAME ${name} COMMAND ${name}_test ${passed_over})
   set_tests_properties(${name} PROPERTIES TIMEOUT 300
     ENVIRONMENT RC_PARAMS=seed=20)  # rapidcheck: the same cases in each run
 endfunction()
