Have a relay notice removals that fall into a resync

Cause: a relay restarts its watch from version zero now and then (1 ms, 2 ms, 4 ms ... after its start). Such a watch returns the existing objects without past removals.

Change: the relay compares each whole result with the moves it has passed on, and reads those that it lacks; what is not found is removed. A lagging replica may lack a new move, which is why it is read before (second new test).

--- a/src/platform/relay.cc
+++ b/src/platform/relay.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -91,6 +92,7 @@
 
   void Step() {
     if (steady_clock::now() >= resync_at_) Resync(resync_gap_ * 2);
+    const bool is_whole = watched_version_ == 0;
     const auto changed =
         options_.api.watch(kWatchedPrefix, watched_version_, WatchWait());
     if (!changed) {
@@ -104,6 +106,7 @@
     // the versions of the rest would make the next watch start after the
     // missing one.
     if (is_stale) Resync(options_.retry.first);
+    if (is_whole && !ForgetMissingMoves(*changed)) return;
     if (pending_snapshot_ && !FetchPendingSnapshot()) return;
     reachability_.OnSuccess();
     if (newer_count == 0 && !changed->empty()) {
@@ -143,6 +146,33 @@
     return true;
   }
 
+  // A watch from version zero returns the existing objects without past
+  // removals, so a move that it lacks was removed, or a lagging replica has not
+  // got it yet. Reads each such move to tell which. Returns false if a read
+  // failed; the next whole result is then checked again.
+  bool ForgetMissingMoves(const std::vector<object>& existing) {
+    const std::set<std::string> offered = offered_moves_;
+    for (const std::string& key : offered) {
+      if (std::ranges::find(existing, key, &object::key) != existing.end()) {
+        continue;
+      }
+      const auto read = options_.api.get(key);
+      if (read) continue;
+      if (read.Failure().Kind() != error_kind::kNotFound) {
+        OnFailure(read.Failure());
+        watched_version_ = 0;
+        return false;
+      }
+      ForgetMove(key);
+    }
+    return true;
+  }
+
+  void ForgetMove(const std::string& key) {
+    offered_moves_.erase(key);
+    options_.remove_move(key.substr(kMovePrefix.size()));
+  }
+
   void ProcessInForce(const object& received) {
     const auto parsed = ParseInForce(received.value);
     if (!parsed) {
@@ -160,7 +190,7 @@
 
   void ProcessMove(const object& received) {
     if (received.value.empty()) {
-      options_.remove_move(received.key.substr(kMovePrefix.size()));
+      ForgetMove(received.key);
       return;
     }
     const auto parsed = ParseMove(received.value);
@@ -168,6 +198,7 @@
       LogMalformedObject(received.key, parsed.Failure());
       return;
     }
+    offered_moves_.insert(received.key);
     options_.offer_move(*parsed);
   }
 
@@ -203,6 +234,7 @@
   steady_clock::time_point resync_at_;
   milliseconds resync_gap_{};
   std::map<std::string, std::uint64_t> known_;  // Key to object version.
+  std::set<std::string> offered_moves_;  // Keys of the moves not removed since.
   std::uint64_t offered_version_ = 0;  // Configuration version passed on last.
   // Snapshot still to be fetched.
   std::optional<config::version_id> pending_snapshot_;
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -94,6 +94,71 @@
       [](const std::string& each) { return each == "m"; }));
 }
 
+// Guards against a removal that is missed: it falls between a watch that
+// returned the move and one from version zero, which returns existing objects
+// only.
+TEST_CASE("a relay notices a removal that falls into a resync") {
+  relay_fixture f;
+  const object stored{.key = std::string(kMovePrefix) + "m",
+                      .version = 1,
+                      .value = ToText(RunningMove("m"))};
+  std::atomic<bool> is_first = true;
+  relay tested(
+      {.api = {.get = [](std::string_view key) -> base::result<object> {
+                 return base::Fail(base::error_kind::kNotFound,
+                                   std::string(key));
+               },
+               .watch =
+                   [&](std::string_view, std::uint64_t, milliseconds) {
+                     return is_first.exchange(false)
+                                ? std::vector<object>{stored}
+                                : std::vector<object>{};
+                   }},
+       .random = base::SeededRandom(1),
+       .metrics = &f.metrics,
+       .is_assigned = [] { return true; },
+       .offer_move = [&](const decisions::move& value) { f.moves.Add(value); },
+       .remove_move = [&](const std::string& id) { f.removed_moves.Add(id); },
+       .retry = {.first = milliseconds{1}, .most = milliseconds{20}}});
+  tested.Start();
+  CHECK(f.removed_moves.WaitFor(
+      [](const std::string& each) { return each == "m"; }));
+  tested.Stop();
+}
+
+// A lagging replica may not have a move yet. A wrong removal would end the move
+// everywhere.
+TEST_CASE("a move that a resync lacks is kept while the platform has it") {
+  relay_fixture f;
+  const object stored{.key = std::string(kMovePrefix) + "m",
+                      .version = 1,
+                      .value = ToText(RunningMove("m"))};
+  std::atomic<bool> is_first = true;
+  std::atomic<int> reads = 0;
+  value_recorder<int> read;
+  relay tested(
+      {.api = {.get = [&](std::string_view) -> base::result<object> {
+                 read.Add(++reads);
+                 return stored;
+               },
+               .watch =
+                   [&](std::string_view, std::uint64_t, milliseconds) {
+                     return is_first.exchange(false)
+                                ? std::vector<object>{stored}
+                                : std::vector<object>{};
+                   }},
+       .random = base::SeededRandom(1),
+       .metrics = &f.metrics,
+       .is_assigned = [] { return true; },
+       .offer_move = [](const decisions::move&) {},
+       .remove_move = [&](const std::string& id) { f.removed_moves.Add(id); },
+       .retry = {.first = milliseconds{1}, .most = milliseconds{20}}});
+  tested.Start();
+  REQUIRE(read.WaitFor([](int count) { return count >= 2; }));
+  tested.Stop();
+  CHECK(f.removed_moves.All().empty());
+}
+
 TEST_CASE("a node that is not a relay makes no platform call") {
   relay_fixture f;
   f.is_assigned = false;
