--- a/src/config/mesh_configuration.cc
+++ b/src/config/mesh_configuration.cc
@@ -1,7 +1,6 @@
 #include "config/mesh_configuration.h"
 
 #include <algorithm>
-#include <set>
 #include <string_view>
 
 namespace fireflyspar::config {
@@ -16,13 +15,16 @@
 }
 
 base::status CheckTargets(const mesh_route& route,
-                          const std::set<std::string_view>& services) {
+                          std::span<const mesh_service> services) {
   if (route.targets.empty()) {
     return InvalidConfiguration("route " + route.name + " names no service");
   }
-  int total = 0;
+  std::int64_t total = 0;
   for (const weighted_service& each : route.targets) {
-    if (!services.contains(each.service)) {
+    const bool is_known =
+        std::ranges::find(services, each.service, &mesh_service::name) !=
+        services.end();
+    if (!is_known) {
       return InvalidConfiguration("route " + route.name +
                                   " names the unknown service " + each.service);
     }
@@ -39,8 +41,10 @@
   return base::success{};
 }
 
-base::status CheckRoute(const mesh_route& route,
-                        const std::set<std::string_view>& services) {
+}  // namespace
+
+base::status ValidateRoute(const mesh_route& route,
+                           std::span<const mesh_service> services) {
   if (route.host.empty()) {
     return InvalidConfiguration("route " + route.name + " has no host");
   }
@@ -60,18 +64,4 @@
   return CheckTargets(route, services);
 }
 
-}  // namespace
-
-base::status ValidateMeshConfiguration(const mesh_configuration& candidate) {
-  if (candidate.version == 0) return InvalidConfiguration("the version is 0");
-  std::set<std::string_view> services;
-  for (const mesh_service& each : candidate.services) {
-    services.insert(each.name);
-  }
-  for (const mesh_route& each : candidate.routes) {
-    if (auto checked = CheckRoute(each, services); !checked) return checked;
-  }
-  return base::success{};
-}
-
 }  // namespace fireflyspar::config
--- a/src/config/mesh_configuration.h
+++ b/src/config/mesh_configuration.h
@@ -1,14 +1,14 @@
 // The configuration that every proxy uses for routing: routes from a host and a
 // path to services, limits on callers' requests, and the version that orders
 // configurations. It is always written as a whole. A proxy adopts a
-// configuration only if it passes ValidateMeshConfiguration and its version is
-// higher than the one in force.
+// configuration only if its version is higher than the one in force.
 #ifndef FIREFLYSPAR_CONFIG_MESH_CONFIGURATION_H_
 #define FIREFLYSPAR_CONFIG_MESH_CONFIGURATION_H_
 
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -34,7 +34,9 @@
   std::chrono::milliseconds objective{0};  // Target latency for callers.
   int priority = 0;                        // 0 is the highest.
   int max_attempts = 1;  // Maximum backend servers reached by a request.
-  std::vector<weighted_service> targets;  // Never empty.
+  // Empty if nobody knows where the route's requests may run; they are refused
+  // as not run.
+  std::vector<weighted_service> targets;
 
   bool operator==(const mesh_route&) const = default;
 };
@@ -66,9 +68,10 @@
 
 using mesh_configuration_ptr = std::shared_ptr<const mesh_configuration>;
 
-// Returns the first error, with the offending value, or success if `candidate`
-// is valid.
-base::status ValidateMeshConfiguration(const mesh_configuration& candidate);
+// Returns the first error of the route, with the offending value, or success if
+// its requests can be routed to `services`.
+base::status ValidateRoute(const mesh_route& route,
+                           std::span<const mesh_service> services);
 
 }  // namespace fireflyspar::config
 
--- a/src/config/validate.cc
+++ b/src/config/validate.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <set>
 
+#include "base/utf8.h"
 #include "config/json_document.h"
 #include "config/preset_text.h"
 #include "config/route_checks.h"
@@ -105,21 +106,11 @@
   validation_errors out_;
 };
 
-// Returns whether the text is valid UTF-8 and can be written as JSON.
-bool IsUtf8(const std::string& text) {
-  try {
-    (void)nlohmann::json(text).dump();
-    return true;
-  } catch (const nlohmann::json::exception&) {
-    return false;
-  }
-}
-
 void checker::CheckTopLevelFields() {
   CheckRange("/schema_version", value_.schema_version, 1, kSchemaVersion);
   CheckName("/name", value_.name);
   if (value_.description.size() > kMaxDescriptionBytes ||
-      !IsUtf8(value_.description)) {
+      !base::IsUtf8(value_.description)) {
     Add("/description", value_.description,
         "UTF-8 of at most " + std::to_string(kMaxDescriptionBytes) + " bytes");
   }
