--- a/src/app/entry_publisher.cc
+++ b/src/app/entry_publisher.cc
@@ -52,11 +52,9 @@
                               .content = *desired_};
   const auto written =
       co_await options_.store->put_content(options_.kind, object);
-  const std::string result =
-      written ? "ok"
-              : std::string(base::ErrorInfoFor(written.Failure().Kind()).name);
   options_.log->Write(event_priority::kStateChange, "entry_written",
-                      {{"entry", object.content.dump()}, {"result", result}});
+                      {{"entry", object.content.dump()},
+                       {"result", base::NameOfResult(written)}});
   if (written) {
     stored_ = *written;
     stored_.content = object.content;
@@ -97,15 +95,11 @@
 
 net::awaitable<void> entry_publisher::Withdraw() {
   is_withdrawn_ = true;
-  if (stored_.revision == 0) co_return;
+  if (stored_.revision.IsNone()) co_return;
   const auto removed = co_await options_.store->remove(
       options_.kind, options_.instance, stored_.revision);
-  options_.log->Write(
-      event_priority::kStateChange, "entry_withdrawn",
-      {{"result",
-        removed
-            ? "ok"
-            : std::string(base::ErrorInfoFor(removed.Failure().Kind()).name)}});
+  options_.log->Write(event_priority::kStateChange, "entry_withdrawn",
+                      {{"result", base::NameOfResult(removed)}});
 }
 
 }  // namespace fireflyspar::app
--- a/src/app/platform_adapter.h
+++ b/src/app/platform_adapter.h
@@ -10,7 +10,7 @@
 #include <string_view>
 
 #include "app/proxy_settings.h"
-#include "config/mesh_configuration.h"
+#include "config/partial_configuration.h"
 #include "proxy/gate.h"
 #include "proxy/header_names.h"
 #include "proxy/object_store.h"
@@ -52,10 +52,12 @@
   // backend servers' messages.
   std::string body_type;
   std::string empty_body;
+  // `on_restored` is called when the store was restored from an older copy.
   std::function<proxy::object_store(net::any_io_executor, const base::address&,
-                                    base::metrics*)>
+                                    base::metrics*,
+                                    std::function<void()> on_restored)>
       connect_store;
-  std::function<base::result<config::mesh_configuration>(
+  std::function<base::result<config::partial_configuration>(
       const nlohmann::json& document)>
       decode_configuration;
   std::function<base::result<stored_rollout>(const proxy::stored_object&)>
--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -14,14 +14,12 @@
 
 #include "app/entry_publisher.h"
 #include "app/rollout_writer.h"
+#include "app/store_follower.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "proxy/listener.h"
-#include "proxy/object_watcher.h"
 #include "proxy/rollouts.h"
 #include "proxy/router.h"
-#include "proxy/server_entry_json.h"
-#include "proxy/store_watchdog.h"
 
 namespace fireflyspar::app {
 namespace {
@@ -48,16 +46,11 @@
 // aborted.
 constexpr milliseconds kShutdownMargin{600};
 
-// Changes of objects of one kind are collected for a delay and then read with a
-// single call. For the configuration, which is long, the delay is this fraction
-// of proxy_settings::configuration_limit, the time within which a new version
-// has to be in force.
-constexpr double kConfigurationBatchFraction = 0.55;
-constexpr milliseconds kEntryBatchDelay{600};
-constexpr milliseconds kRolloutBatchDelay{100};
-
 constexpr milliseconds kDeadPeerTimeout{1500};
 
+// The share of the process's memory for bodies is one divided by this.
+constexpr std::uint64_t kBodyMemoryDivisor = 8;
+
 http_response PlainAnswer(http::status status, std::string text) {
   http_response answer(status, 11);
   answer.set(http::field::content_type, "text/plain");
@@ -79,11 +72,11 @@
   proxy::gate_options GateOptions();
   proxy::router_options RouterOptions();
   proxy::rollouts_options RolloutsOptions();
-  proxy::object_watcher_options WatcherOptions(const std::string& kind,
-                                               milliseconds coalesce_delay);
+  store_follower_options FollowerOptions();
+  // Memory for the bodies of callers' requests, and as much again for those of
+  // requests at the gate, in bytes.
+  std::uint64_t BodyMemory() const;
   void MakeListeners();
-  void MakeWatchers();
-  proxy::store_watchdog_options WatchdogOptions();
 
   http_response EmptyAnswer(http::status status) const;
   net::awaitable<http_response> OnGateCall(proxy::served_call& call);
@@ -92,12 +85,6 @@
   net::awaitable<http_response> OnMetrics(proxy::served_call& call);
 
   void OnServerChange(const std::optional<decisions::server_info>& server);
-  void OnConfiguration(const proxy::stored_object& object);
-  void OnRollout(const proxy::stored_object& object);
-  void OnEntries(std::span<const proxy::stored_object> objects);
-  void OnEntry(const proxy::object_change& change);
-  bool PutEntry(const proxy::stored_object& object);
-  net::awaitable<void> RemoveEntry(proxy::stored_object object);
 
   net::awaitable<void> Tick();
   net::awaitable<void> HandleSignals();
@@ -124,12 +111,10 @@
   proxy::router router_;
   rollout_writer rollout_writer_;
   entry_publisher publisher_;
+  store_follower follower_;
+  proxy::body_memory caller_bodies_;
   std::vector<std::unique_ptr<proxy::listener>> listeners_;
   proxy::listener* caller_listener_ = nullptr;
-  std::vector<std::unique_ptr<proxy::object_watcher>> watchers_;
-  proxy::store_watchdog watchdog_;
-  // Why the configuration that was rejected last was rejected.
-  std::string last_rejection_;
 };
 
 proxy_process::proxy_process(const platform_adapter& adapter,
@@ -138,7 +123,8 @@
       settings_(std::move(settings)),
       settings_stamp_(adapter_.settings_stamp()),
       log_({.write = base::WriteToStandardOutput, .clock = clock_}),
-      store_(adapter_.connect_store(executor_, settings_.store, &metrics_)),
+      store_(adapter_.connect_store(executor_, settings_.store, &metrics_,
+                                    [this] { follower_.OnStoreRestored(); })),
       gate_(GateOptions()),
       rollouts_(RolloutsOptions()),
       router_(RouterOptions()),
@@ -154,9 +140,9 @@
                   .random = random_,
                   .kind = adapter_.names.entry_kind,
                   .instance = settings_.instance}),
-      watchdog_(WatchdogOptions()) {
+      follower_(FollowerOptions()),
+      caller_bodies_(BodyMemory()) {
   MakeListeners();
-  MakeWatchers();
 }
 
 proxy::gate_options proxy_process::GateOptions() {
@@ -166,11 +152,17 @@
       .clock = clock_,
       .metrics = &metrics_,
       .log = &log_,
+      .transfers = {.bytes_per_second = settings_.link_bytes_per_second,
+                    .max_held_bytes = BodyMemory()},
       .on_change = [this](const std::optional<decisions::server_info>& server) {
         OnServerChange(server);
       }};
 }
 
+std::uint64_t proxy_process::BodyMemory() const {
+  return settings_.memory_bytes / kBodyMemoryDivisor;
+}
+
 proxy::rollouts_options proxy_process::RolloutsOptions() {
   return {.random = random_,
           .log = &log_,
@@ -207,7 +199,8 @@
            [this] {
              const auto* known = router_.Configuration();
              return known != nullptr ? known->limits : config::request_limits{};
-           }});
+           },
+       .bodies = &caller_bodies_});
   caller_listener_ = listeners_.back().get();
   add({.address = settings_.gate,
        .handler = [this](proxy::served_call& call) { return OnGateCall(call); },
@@ -227,81 +220,30 @@
        }});
 }
 
-proxy::object_watcher_options proxy_process::WatcherOptions(
-    const std::string& kind, milliseconds coalesce_delay) {
-  return {.executor = executor_,
-          .kind = kind,
-          .store = &store_,
-          .log = &log_,
-          .random = random_,
-          .coalesce_delay = coalesce_delay};
-}
-
-void proxy_process::MakeWatchers() {
-  const store_names& names = adapter_.names;
-  const auto configuration_delay = std::chrono::duration_cast<milliseconds>(
-      settings_.configuration_limit * kConfigurationBatchFraction);
-  auto configurations =
-      WatcherOptions(names.configuration_kind, configuration_delay);
-  configurations.latest_only_object = names.configuration_name;
-  configurations.on_list = [this](std::span<const proxy::stored_object> all) {
-    std::ranges::for_each(all, [this](const proxy::stored_object& each) {
-      OnConfiguration(each);
-    });
-  };
-  configurations.on_change = [this](const proxy::object_change& change) {
-    if (!change.is_removal) OnConfiguration(change.object);
-  };
-  auto rollouts = WatcherOptions(names.rollout_kind, kRolloutBatchDelay);
-  rollouts.on_list = [this](std::span<const proxy::stored_object> all) {
-    std::ranges::for_each(
-        all, [this](const proxy::stored_object& each) { OnRollout(each); });
-  };
-  rollouts.on_change = [this](const proxy::object_change& change) {
-    if (!change.is_removal) OnRollout(change.object);
-  };
-  auto entries = WatcherOptions(names.entry_kind, kEntryBatchDelay);
-  // Entries may arrive late: the gate decides on each offer by its own, current
-  // knowledge of its server, so a router with an outdated entry does little
-  // harm.
-  entries.allow_stale = true;
-  entries.on_list = [this](std::span<const proxy::stored_object> all) {
-    OnEntries(all);
-  };
-  entries.on_change = [this](const proxy::object_change& change) {
-    OnEntry(change);
-  };
-  for (auto* each : {&configurations, &entries, &rollouts}) {
-    watchers_.push_back(
-        std::make_unique<proxy::object_watcher>(std::move(*each)));
-  }
-}
-
-proxy::store_watchdog_options proxy_process::WatchdogOptions() {
+store_follower_options proxy_process::FollowerOptions() {
   return {.executor = executor_,
+          .adapter = &adapter_,
           .store = &store_,
           .log = &log_,
+          .metrics = &metrics_,
           .random = random_,
-          .on_lost =
-              [this] {
-                for (const auto& each : watchers_) each->Suspend();
-              },
-          .on_regained =
-              [this] {
-                for (const auto& each : watchers_) each->Restart();
-                publisher_.Retry();
-              }};
+          .clock = clock_,
+          .instance = settings_.instance,
+          .gate = settings_.gate,
+          .configuration_limit = settings_.configuration_limit,
+          .directory = &directory_,
+          .rollout_states = &rollouts_,
+          .router = &router_,
+          .writer = &rollout_writer_,
+          .publisher = &publisher_};
 }
 
 base::status proxy_process::Start() {
   for (const auto& each : listeners_) {
     if (const auto started = each->Start(); !started) return started;
   }
-  for (const auto& each : watchers_) {
-    net::co_spawn(executor_, each->Run(), net::detached);
-  }
+  follower_.Start();
   net::co_spawn(executor_, publisher_.Run(), net::detached);
-  net::co_spawn(executor_, watchdog_.Run(), net::detached);
   net::co_spawn(executor_, Tick(), net::detached);
   net::co_spawn(executor_, HandleSignals(), net::detached);
   log_.Write(event_priority::kStateChange, "started",
@@ -324,7 +266,7 @@
   }
   // Reading a deferred body replaces the whole request, so the offer and the
   // Expect header have to be removed again afterwards.
-  std::function<net::awaitable<bool>()> read_body;
+  proxy::body_reader read_body;
   const auto remove_proxy_headers = [&call] {
     call.request.erase(proxy::kOfferHeader);
     call.request.erase(http::field::expect);
@@ -406,100 +348,6 @@
                          .server = *server});
 }
 
-void proxy_process::OnConfiguration(const proxy::stored_object& object) {
-  if (object.name != adapter_.names.configuration_name) return;
-  auto decoded = adapter_.decode_configuration(object.content);
-  const auto* known = router_.Configuration();
-  if (!decoded) {
-    if (last_rejection_ == decoded.Failure().detail) return;
-    last_rejection_ = decoded.Failure().detail;
-    log_.Write(event_priority::kStateChange, "configuration_rejected",
-               {{"revision", std::to_string(object.revision)},
-                {"detail", last_rejection_}});
-    return;
-  }
-  const bool is_newer = known == nullptr || decoded->version > known->version;
-  log_.Write(event_priority::kStateChange,
-             is_newer ? "configuration_in_force" : "configuration_outdated",
-             {{"version", std::to_string(decoded->version)},
-              {"revision", std::to_string(object.revision)},
-              {"routes", std::to_string(decoded->routes.size())}});
-  if (!is_newer) return;
-  router_.SetConfiguration(
-      std::make_shared<const config::mesh_configuration>(std::move(*decoded)));
-}
-
-void proxy_process::OnRollout(const proxy::stored_object& object) {
-  const auto decoded = adapter_.decode_rollout(object);
-  if (!decoded) {
-    log_.Write(event_priority::kStateChange, "rollout_rejected",
-               {{"name", object.name}, {"detail", decoded.Failure().detail}});
-    return;
-  }
-  rollout_writer_.OnObject(object);
-  base::duration age{};
-  if (decoded->began_ms != 0) {
-    const milliseconds began(decoded->began_ms);
-    const auto since = clock_().time_since_epoch() - began;
-    age = std::clamp<base::duration>(since, base::duration(0),
-                                     decoded->order.period);
-  }
-  rollouts_.OnRolloutOrder(decoded->order, decoded->has_state, age);
-}
-
-bool proxy_process::PutEntry(const proxy::stored_object& object) {
-  if (object.name == settings_.instance) publisher_.OnStored(object);
-  const auto entry = proxy::ParseEntry(object.name, object.content);
-  if (entry) {
-    // The entry of another instance with this process's own gate address is
-    // obsolete, since its process can no longer be listening there.
-    const bool has_own_address =
-        entry->gate == settings_.gate && entry->instance != settings_.instance;
-    if (has_own_address) {
-      net::co_spawn(executor_, RemoveEntry(object), net::detached);
-      return directory_.Remove(object.name);
-    }
-    return directory_.Put(*entry);
-  }
-  log_.Write(event_priority::kStateChange, "entry_rejected",
-             {{"name", object.name}});
-  return directory_.Remove(object.name);
-}
-
-net::awaitable<void> proxy_process::RemoveEntry(proxy::stored_object object) {
-  const auto removed = co_await store_.remove(adapter_.names.entry_kind,
-                                              object.name, object.revision);
-  const std::string result =
-      removed ? "ok"
-              : std::string(base::ErrorInfoFor(removed.Failure().Kind()).name);
-  log_.Write(event_priority::kStateChange, "entry_removed",
-             {{"name", object.name}, {"result", result}});
-}
-
-void proxy_process::OnEntries(std::span<const proxy::stored_object> objects) {
-  std::vector<std::string> names(objects.size());
-  std::ranges::transform(objects, names.begin(), &proxy::stored_object::name);
-  directory_.KeepOnly(names);
-  if (std::ranges::find(names, settings_.instance) == names.end()) {
-    publisher_.OnStored(std::nullopt);
-  }
-  for (const proxy::stored_object& each : objects) PutEntry(each);
-  router_.OnDirectoryChange();
-}
-
-void proxy_process::OnEntry(const proxy::object_change& change) {
-  bool has_changed = false;
-  if (change.is_removal) {
-    if (change.object.name == settings_.instance) {
-      publisher_.OnStored(std::nullopt);
-    }
-    has_changed = directory_.Remove(change.object.name);
-  } else {
-    has_changed = PutEntry(change.object);
-  }
-  if (has_changed) router_.OnDirectoryChange();
-}
-
 net::awaitable<void> proxy_process::Pause(base::duration span) {
   net::steady_timer timer(executor_, span);
   boost::system::error_code ignored;
--- a/src/app/proxy_settings.h
+++ b/src/app/proxy_settings.h
@@ -3,6 +3,7 @@
 #define FIREFLYSPAR_APP_PROXY_SETTINGS_H_
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 #include "base/address.h"
@@ -27,6 +28,9 @@
   // is in force.
   std::chrono::milliseconds configuration_limit{2000};
   decisions::shared_retry_budget_options repeats;
+  // Of this instance: the rate of its link and the memory of this process.
+  double link_bytes_per_second = 125e6;
+  std::uint64_t memory_bytes = 256'000'000;
 
   bool operator==(const proxy_settings&) const = default;
 };
--- a/src/app/rollout_writer.cc
+++ b/src/app/rollout_writer.cc
@@ -52,7 +52,7 @@
   const auto known = objects_.find(order.service);
   if (known == objects_.end()) return true;  // The order was removed.
   const auto stored = options_.adapter->decode_rollout(known->second);
-  if (!stored || !decisions::IsSameOrder(stored->order, order)) return true;
+  if (!stored || !decisions::IsSameOrder(order, stored->order)) return true;
   if (!stored->has_state) return false;
   return stored->order.state != rollout_state::kRunning ||
          order.state == rollout_state::kRunning;
@@ -77,14 +77,10 @@
     object.status = options_.adapter->encode_rollout_state(order, began_ms);
     const auto written = co_await options_.store->put_status(
         options_.adapter->names.rollout_kind, object);
-    options_.log->Write(
-        event_priority::kStateChange, "rollout_state_written",
-        {{"service", order.service},
-         {"state", object.status.dump()},
-         {"result",
-          written ? "ok"
-                  : std::string(
-                        base::ErrorInfoFor(written.Failure().Kind()).name)}});
+    options_.log->Write(event_priority::kStateChange, "rollout_state_written",
+                        {{"service", order.service},
+                         {"state", object.status.dump()},
+                         {"result", base::NameOfResult(written)}});
     if (written) {
       OnObject(*written);
       break;
--- a/src/backend_servers/exchange.cc
+++ b/src/backend_servers/exchange.cc
@@ -246,7 +246,9 @@
       // although the system accepted some.
       const bool was_aborted =
           cancel.IsCancelled() || error == beast::error::timeout;
-      result = MakeFailure(cancel, error, written > 0 || was_aborted);
+      const std::size_t harmless =
+          options.body_after_continue ? request.body().size() - 1 : 0;
+      result = MakeFailure(cancel, error, written > harmless || was_aborted);
       co_return result;
     }
     error = co_await ReadMatchingAnswer(*used, options, request, stays_open,
--- a/src/backend_servers/exchange.h
+++ b/src/backend_servers/exchange.h
@@ -51,8 +51,8 @@
   // connection.
   bool accepts_close_delimited = false;
   // Sends the head alone, and the body once the peer has answered "100
-  // Continue". A peer that ends the exchange before that has not received the
-  // request.
+  // Continue". The peer acts on whole requests only, so a request whose body
+  // was not sent to its last byte counts as not sent.
   bool body_after_continue = false;
   // Time limit for the "100 Continue". Zero: only `deadline` applies.
   std::chrono::milliseconds continue_timeout{0};
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -50,6 +50,13 @@
 struct success {};
 using status = result<success>;
 
+// Returns "ok" or the name of the failure's kind, for logs.
+template <typename T>
+std::string NameOfResult(const result<T>& outcome) {
+  if (outcome) return "ok";
+  return std::string(ErrorInfoFor(outcome.Failure().Kind()).name);
+}
+
 }  // namespace fireflyspar::base
 
 #endif  // FIREFLYSPAR_BASE_RESULT_H_
--- a/src/decisions/gate_choice.cc
+++ b/src/decisions/gate_choice.cc
@@ -22,13 +22,29 @@
   return static_cast<double>(span.count());
 }
 
+// Returns the time in microseconds until a body of this size, sent now, has
+// crossed the gate's link behind those that are ahead of it. `age` is the time
+// since the report, in microseconds.
+double TransferTime(const gate_report& report, std::uint64_t sent_since_report,
+                    double age, std::uint64_t body_bytes) {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  if (body_bytes == 0 || report.bytes_per_second <= 0) return 0;
+  const double moved = report.bytes_per_second * age / kMicrosecondsPerSecond;
+  const double backlog =
+      std::max(0.0, static_cast<double>(report.body_backlog) - moved);
+  const double ahead = backlog + static_cast<double>(sent_since_report);
+  return (ahead + static_cast<double>(body_bytes)) / report.bytes_per_second *
+         kMicrosecondsPerSecond;
+}
+
 }  // namespace
 
 gate_choice::estimate gate_choice::Estimate(const gate_candidate& candidate,
                                             const gate_state* known,
-                                            base::duration typical_duration,
+                                            const choice_request& request,
                                             base::steady_instant now) const {
-  const double base_time = std::max(1.0, Microseconds(typical_duration));
+  const double base_time =
+      std::max(1.0, Microseconds(request.typical_duration));
   const double far = candidate.is_near ? 0 : options_.distance_cost * base_time;
   if (known == nullptr) return {.cost = base_time + far};
   const gate_report& report = known->report;
@@ -48,6 +64,8 @@
   double cost = excess * time / slots;
   cost += time * (1 + kFullServerCost * utilization * utilization);
   cost += far;
+  cost += TransferTime(report, known->bytes_sent_since_report, age,
+                       request.body_bytes);
   cost += options_.failure_cost * base_time * report.failure_rate;
   if (now < known->closed_until) cost += kClosedCost;
   if (known->is_unreachable) cost += kUnreachableCost;
@@ -55,16 +73,14 @@
 }
 
 std::optional<chosen_gate> gate_choice::Choose(
-    std::span<const gate_candidate> candidates, base::duration typical_duration,
+    std::span<const gate_candidate> candidates, const choice_request& request,
     const base::random_hook& random, base::steady_instant now) const {
   std::vector<std::size_t> indices(candidates.size());
   std::iota(indices.begin(), indices.end(), 0);
   const auto far = std::ranges::partition(
       indices, [&](std::size_t each) { return candidates[each].is_near; });
   const std::span<std::size_t> near_ones(indices.begin(), far.begin());
-  comparison made{.candidates = candidates,
-                  .typical_duration = typical_duration,
-                  .now = now};
+  comparison made{.candidates = candidates, .request = request, .now = now};
   Compare(made, near_ones, options_.compared_near, random);
   Compare(made, far, options_.compared_near + options_.compared_far, random);
   return made.best;
@@ -86,8 +102,7 @@
   const gate_candidate& candidate = search.candidates[index];
   const auto found = gates_.find(candidate.instance);
   const gate_state* known = found == gates_.end() ? nullptr : &found->second;
-  const estimate made =
-      Estimate(candidate, known, search.typical_duration, search.now);
+  const estimate made = Estimate(candidate, known, search.request, search.now);
   if (made.cost < kClosedCost) ++search.compared;
   const double cost =
       made.cost * (1 + options_.jitter * base::ToUnitInterval(random()));
@@ -96,9 +111,10 @@
   search.best = {.index = index, .is_expected_free = made.is_free};
 }
 
-void gate_choice::OnSend(std::string_view instance) {
+void gate_choice::OnSend(std::string_view instance, std::uint64_t body_bytes) {
   gate_state& gate = gates_[std::string(instance)];
   ++gate.sent_since_report;
+  gate.bytes_sent_since_report += body_bytes;
   ++gate.in_flight;
 }
 
@@ -113,6 +129,7 @@
   gate.report = report;
   gate.reported_at = now;
   gate.sent_since_report = 0;
+  gate.bytes_sent_since_report = 0;
   OnReachable(instance);
 }
 
--- a/src/decisions/gate_choice.h
+++ b/src/decisions/gate_choice.h
@@ -31,6 +31,10 @@
   int slots = 1;
   double latency_ratio = 1;  // Time at its server, relative to typical.
   double failure_rate = 0;   // Failed share of its latest answers, 0 to 1.
+  // Rate at which request bodies cross the gate's link, and the bytes of those
+  // that are waiting or under way. Zero rate: unknown.
+  double bytes_per_second = 0;
+  std::uint64_t body_backlog = 0;
 };
 
 struct gate_choice_options {
@@ -47,6 +51,13 @@
   int compared_far = 2;
 };
 
+// The request to choose a gate for.
+struct choice_request {
+  base::duration typical_duration{};  // Expected time at a server.
+  // Size of a body that has to cross the gate's link; small bodies count as 0.
+  std::uint64_t body_bytes = 0;
+};
+
 struct gate_candidate {
   std::string_view instance;
   bool is_near = true;  // Whether it is in this proxy's data centre.
@@ -64,12 +75,12 @@
 
   // Returns the gate to send to, or nothing if there are no candidates.
   std::optional<chosen_gate> Choose(std::span<const gate_candidate> candidates,
-                                    base::duration typical_duration,
+                                    const choice_request& request,
                                     const base::random_hook& random,
                                     base::steady_instant now) const;
 
-  // Records that a request was sent to the gate.
-  void OnSend(std::string_view instance);
+  // Records that a request was sent to the gate, with a body of this size.
+  void OnSend(std::string_view instance, std::uint64_t body_bytes = 0);
 
   // Records the end of a request that was sent to the gate.
   void OnEnd(std::string_view instance);
@@ -99,7 +110,8 @@
     gate_report report;
     base::steady_instant reported_at;
     int sent_since_report = 0;  // Requests sent since the report.
-    int in_flight = 0;          // Requests of this proxy.
+    std::uint64_t bytes_sent_since_report = 0;
+    int in_flight = 0;  // Requests of this proxy.
     bool is_unreachable = false;
     base::steady_instant closed_until;
   };
@@ -112,7 +124,7 @@
   // The state of one search: the best of the gates compared so far.
   struct comparison {
     std::span<const gate_candidate> candidates;
-    base::duration typical_duration{};
+    choice_request request;
     base::steady_instant now;
     std::optional<chosen_gate> best;
     double lowest_cost = 0;  // Cost of `best`.
@@ -120,7 +132,7 @@
   };
 
   estimate Estimate(const gate_candidate& candidate, const gate_state* known,
-                    base::duration typical_duration,
+                    const choice_request& request,
                     base::steady_instant now) const;
 
   // Compares gates drawn at random from `drawn_from` until the search has
--- a/src/decisions/ranked_admission.cc
+++ b/src/decisions/ranked_admission.cc
@@ -63,29 +63,43 @@
   inflation = std::clamp(inflation, 1.0, kMaxWaitInflation);
 }
 
-admission_result ranked_admission::Enter(const admission_request& request,
-                                         base::steady_instant now) {
+admission_request ranked_admission::ToQueued(const admission_request& request,
+                                             base::steady_instant now) const {
+  admission_request waiting = request;
+  waiting.entered = now;
+  waiting.is_late = now + request.typical_duration > request.objective;
+  waiting.expected_wait = ExpectedWait(waiting);
+  return waiting;
+}
+
+admission_result ranked_admission::Evaluate(const admission_request& request,
+                                            base::steady_instant now) const {
   if (closed_) return Refuse(*closed_, {});
   if (now >= request.deadline) {
     return Refuse(base::error_kind::kDeadlinePassed, {});
   }
   if (running_ < slots_ && queue_.empty()) {
-    ++running_;
     return {.choice = admission_choice::kRun};
   }
-  admission_request waiting = request;
-  waiting.entered = now;
-  waiting.is_late = now + request.typical_duration > request.objective;
-  waiting.expected_wait = ExpectedWait(waiting);
+  const admission_request waiting = ToQueued(request, now);
   const base::duration wait = waiting.expected_wait;
   if (wait > request.wait_limit) return Refuse(base::error_kind::kShed, wait);
   if (now + wait + request.typical_duration > LatestEnd(waiting)) {
     return Refuse(base::error_kind::kShed, wait);
   }
-  queue_.insert(waiting);
   return {.choice = admission_choice::kWait, .wait = wait};
 }
 
+admission_result ranked_admission::Enter(const admission_request& request,
+                                         base::steady_instant now) {
+  const admission_result result = Evaluate(request, now);
+  if (result.choice == admission_choice::kRun) ++running_;
+  if (result.choice == admission_choice::kWait) {
+    queue_.insert(ToQueued(request, now));
+  }
+  return result;
+}
+
 void ranked_admission::Leave(base::duration took) {
   --running_;
   typical_duration_ =
--- a/src/decisions/ranked_admission.h
+++ b/src/decisions/ranked_admission.h
@@ -64,6 +64,10 @@
 
   bool IsOpen() const { return !closed_; }
 
+  // Returns what Enter would do with the request, without doing it.
+  admission_result Evaluate(const admission_request& request,
+                            base::steady_instant now) const;
+
   // Admits, queues or refuses a new request.
   admission_result Enter(const admission_request& request,
                          base::steady_instant now);
@@ -102,6 +106,9 @@
     }
   };
 
+  // Returns the request with the fields that are set when it is queued.
+  admission_request ToQueued(const admission_request& request,
+                             base::steady_instant now) const;
   base::duration ExpectedWait(const admission_request& request) const;
   void UpdateWaitInflation(const admission_request& request,
                            base::steady_instant now);
--- a/src/decisions/version_rollout.cc
+++ b/src/decisions/version_rollout.cc
@@ -34,8 +34,9 @@
                                  version_rollout_options options)
     : order_(std::move(order)), began_(began), options_(options) {}
 
-void version_rollout::SetState(rollout_state state) {
-  if (order_.state == rollout_state::kRunning) order_.state = state;
+void version_rollout::Update(const rollout_order& read) {
+  order_.created = read.created;
+  if (order_.state == rollout_state::kRunning) order_.state = read.state;
 }
 
 void version_rollout::Count(std::string_view server_id,
--- a/src/decisions/version_rollout.h
+++ b/src/decisions/version_rollout.h
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "base/hooks.h"
+#include "base/store_revision.h"
 
 namespace fireflyspar::decisions {
 
@@ -24,8 +25,8 @@
 
 // An operator's order for a rollout, with its state as known here.
 struct rollout_order {
-  // The id of the stored object that holds the orders of a service.
-  std::uint64_t id = 0;
+  // When the stored object that holds the orders of a service was created.
+  base::store_revision created;
   std::string service;
   std::string target_version;
   base::duration period{};  // From the order to its deadline.
@@ -34,12 +35,16 @@
   bool operator==(const rollout_order&) const = default;
 };
 
-// Returns whether both are the same order, regardless of its state and period.
-// The id alone is not enough, because an operator may write the next order into
-// the object of the previous one.
-inline bool IsSameOrder(const rollout_order& left, const rollout_order& right) {
-  return left.id == right.id && left.service == right.service &&
-         left.target_version == right.target_version;
+// Returns whether `read` is the order `known`, regardless of its state and
+// period. The object's creation alone is not enough, because an operator may
+// write the next order into the object of the previous one. After the store was
+// restored from a copy, the operator writes lost orders again, in new objects:
+// the first order of a later era for the same version is the known one.
+inline bool IsSameOrder(const rollout_order& known, const rollout_order& read) {
+  const bool is_rewritten = known.created.era < read.created.era;
+  return (known.created == read.created || is_rewritten) &&
+         known.service == read.service &&
+         known.target_version == read.target_version;
 }
 
 // The requests that one server has run on one route since it started.
@@ -77,9 +82,9 @@
 
   const rollout_order& Order() const { return order_; }
 
-  // Sets the state of the order as read from the store. Once the rollout has
+  // Applies the same order as read from the store later. Once the rollout has
   // succeeded or was rolled back, its state never changes.
-  void SetState(rollout_state state);
+  void Update(const rollout_order& read);
 
   // Records the cumulative counts of the server `server_id` on `route`. Counts
   // older than the recorded ones are ignored.
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -1,10 +1,6 @@
 #include "proxy/gate.h"
 
-#include <algorithm>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
-#include <cmath>
 #include <utility>
 
 #include "backend_servers/exchange.h"
@@ -44,42 +40,38 @@
 // the request's outcome would be unknown.
 constexpr milliseconds kMaxIdleForUnsafe{1000};
 
-// Exponential smoothing of the server's relative latency and of its failure
-// rate: the weight of one outcome.
-constexpr double kLatencyRatioWeight = 0.125;
-constexpr double kFailureWeight = 0.125;
-constexpr double kMaxLatencyRatio = 16;
-constexpr double kMinLatencyRatio = 0.1;
-constexpr double kColdLatencyRatio = 2;
-
-// Half-life of the failure rate while no outcomes arrive.
-constexpr milliseconds kFailureHalfLife{2000};
-
-// A response that takes longer than this many typical times is slow.
-constexpr int kSlowMultiple = 3;
-
-// Returns whether the outcome counts as a failure of the server. Running out of
-// the request's time (a timeout here or the server's own 504) does not: it is
-// measured as slowness.
-bool IsServerFailure(const gate_outcome& outcome) {
-  if (outcome.end == gate_outcome_kind::kUnknown) {
-    return outcome.reason == error_kind::kServerFailed;
-  }
-  constexpr unsigned kFirstServerErrorStatus = 500;
-  constexpr unsigned kGatewayTimeout = 504;
-  const unsigned status = outcome.answer.result_int();
-  return outcome.end == gate_outcome_kind::kAnswered &&
-         status >= kFirstServerErrorStatus && status != kGatewayTimeout;
-}
-
 base::duration ElapsedSince(base::steady_instant begun) {
   return std::chrono::duration_cast<base::duration>(steady::now() - begun);
 }
 
+// Returns the result for a request that left the queue without a decision.
+admission_result Abandoned(const backend_servers::cancellation& cancel) {
+  return {.choice = admission_choice::kRefuse,
+          .reason = cancel.IsCancelled() ? error_kind::kCancelled
+                                         : error_kind::kDeadlinePassed};
+}
+
+// Holds the memory of a body at the gate until its request has ended.
+class held_body {
+ public:
+  held_body(decisions::transfer_queue& transfers, std::uint64_t bytes)
+      : transfers_(transfers), bytes_(bytes) {}
+  ~held_body() { transfers_.Release(bytes_); }
+  held_body(const held_body&) = delete;
+  held_body& operator=(const held_body&) = delete;
+
+ private:
+  decisions::transfer_queue& transfers_;
+  std::uint64_t bytes_;
+};
+
 }  // namespace
 
 gate::gate(gate_options options)
-    : options_(std::move(options)), pool_(options_.executor) {}
+    : options_(std::move(options)),
+      pool_(options_.executor),
+      transfers_(options_.transfers),
+      waiters_(options_.executor) {}
 
 bool gate::OnHeartbeat(const server_heartbeat& heartbeat) {
   if (server_ && heartbeat.server.start_ms < server_->start_ms) return false;
@@ -90,15 +82,13 @@
   if (!is_same_start) {
     is_leaving_ = HasLeftBefore(heartbeat.server);
     is_misaddressed_ = false;
-    counts_.clear();
-    failure_rate_ = 0;
-    latency_ratio_ = heartbeat.cold_left.count() > 0 ? kColdLatencyRatio : 1;
+    measurements_.Restart(heartbeat.cold_left);
     pool_.CloseIdle(address_);
   }
   sequence_ = heartbeat.sequence;
   address_ = heartbeat.address;
   last_heartbeat_at_ = now;
-  cold_until_ = now + heartbeat.cold_left;
+  measurements_.SetColdUntil(now + heartbeat.cold_left);
   const std::optional<decisions::server_info> before = server_;
   server_ = heartbeat.server;
   if (is_leaving_) server_->condition = server_condition::kDraining;
@@ -179,97 +169,149 @@
 }
 
 void gate::NotifyWaiters() {
-  for (const auto& end : admission_.ProcessQueue(steady::now())) {
-    const auto found = waiters_.find(end.ticket);
-    if (found == waiters_.end()) continue;
-    found->second->result = end.result;
-    found->second->timer.cancel();
-  }
+  const auto now = steady::now();
+  waiters_.Notify(admission_.ProcessQueue(now));
+  waiters_.Notify(transfers_.ProcessQueue(now));
 }
 
-net::awaitable<admission_result> gate::WaitForAdmission(
-    admission_request pending, backend_servers::cancellation& cancel) {
-  waiter waiting(options_.executor);
-  waiters_[pending.ticket] = &waiting;
-  waiting.timer.expires_at(pending.deadline);
-  cancel.OnCancel([&waiting] { waiting.timer.cancel(); });
-  boost::system::error_code ignored;
-  if (!cancel.IsCancelled()) {
-    co_await waiting.timer.async_wait(
-        net::redirect_error(net::use_awaitable, ignored));
-  }
-  cancel.OnCancel(nullptr);
-  waiters_.erase(pending.ticket);
-  if (waiting.result) co_return *waiting.result;
+net::awaitable<admission_result> gate::WaitForSlot(
+    const admission_request& pending, backend_servers::cancellation& cancel) {
+  const admission_result entered = admission_.Enter(pending, steady::now());
+  if (entered.choice != admission_choice::kWait) co_return entered;
+  const auto decided =
+      co_await waiters_.Wait(pending.ticket, pending.deadline, cancel);
+  if (decided) co_return *decided;
   admission_.Abandon(pending.ticket);
-  admission_result abandoned;
-  abandoned.choice = admission_choice::kRefuse;
-  abandoned.reason = cancel.IsCancelled() ? error_kind::kCancelled
-                                          : error_kind::kDeadlinePassed;
-  co_return abandoned;
+  co_return Abandoned(cancel);
 }
 
-net::awaitable<gate_outcome> gate::Run(
-    const call_offer& offer, backend_servers::http_request& request,
-    const std::function<net::awaitable<bool>()>& read_body,
+net::awaitable<admission_result> gate::WaitForLink(
+    const decisions::transfer_request& body,
     backend_servers::cancellation& cancel) {
-  const auto begun = steady::now();
-  gate_outcome outcome;
-  const bool matches_offer = server_ && server_->service == offer.service &&
-                             server_->version == offer.version;
-  if (!matches_offer) {
-    outcome = NotRun(error_kind::kNoServer, "another server stands here");
-    LogOutcome(offer, request, outcome, {});
-    co_return outcome;
-  }
-  const auto current_latency_ratio =
-      IsCold(begun) ? std::max(latency_ratio_, kColdLatencyRatio)
-                    : latency_ratio_;
-  const admission_request pending{
+  const admission_result entered = transfers_.Enter(body, steady::now());
+  if (entered.choice != admission_choice::kWait) co_return entered;
+  const auto decided =
+      co_await waiters_.Wait(body.ticket, body.deadline, cancel);
+  if (decided) co_return *decided;
+  transfers_.Abandon(body.ticket);
+  co_return Abandoned(cancel);
+}
+
+net::awaitable<admission_result> gate::ReceiveLargeBody(
+    const call_offer& offer, const admission_request& pending,
+    const body_reader& read_body, backend_servers::cancellation& cancel) {
+  // A request that would be refused for want of a slot costs the link nothing.
+  const admission_result slot = admission_.Evaluate(pending, steady::now());
+  if (slot.choice == admission_choice::kRefuse) co_return slot;
+  const decisions::transfer_request body{.ticket = pending.ticket,
+                                         .bytes = offer.body_bytes,
+                                         .priority = offer.priority,
+                                         .time_after = pending.typical_duration,
+                                         .wait_limit = pending.wait_limit,
+                                         .objective = pending.objective,
+                                         .deadline = pending.deadline};
+  const admission_result admitted = co_await WaitForLink(body, cancel);
+  if (admitted.choice == admission_choice::kRefuse) co_return admitted;
+  const bool is_whole = !cancel.IsCancelled() && co_await read_body();
+  transfers_.Arrive(body.ticket, is_whole, steady::now());
+  NotifyWaiters();
+  if (is_whole) co_return admitted;
+  transfers_.Release(body.bytes);
+  admission_result cut_off;
+  cut_off.reason = error_kind::kCancelled;
+  co_return cut_off;
+}
+
+admission_request gate::ToAdmissionRequest(const call_offer& offer,
+                                           base::steady_instant begun) {
+  const double duration = static_cast<double>(offer.typical_duration.count()) *
+                          measurements_.LatencyRatio(begun);
+  return {
       .ticket = ++last_ticket_,
       .is_nested_call = offer.is_nested_call,
       .priority = offer.priority,
-      .typical_duration = base::duration(static_cast<std::int64_t>(
-          static_cast<double>(offer.typical_duration.count()) *
-          current_latency_ratio)),
+      .typical_duration = base::duration(static_cast<std::int64_t>(duration)),
       .wait_limit = offer.wait_limit,
       .objective = begun + offer.time_to_objective,
       .deadline = begun + offer.left};
-  admission_result admitted = admission_.Enter(pending, begun);
-  if (admitted.choice == admission_choice::kWait) {
-    admitted = co_await WaitForAdmission(pending, cancel);
+}
+
+gate_outcome gate::ToRefusal(const admission_result& refused) const {
+  gate_outcome outcome = NotRun(refused.reason, "refused by the gate");
+  outcome.wait = refused.wait;
+  const bool server_leaves =
+      refused.reason == error_kind::kDraining && !is_closed_;
+  if (server_leaves) outcome.wait = kLeavingRetryAfter;
+  if (refused.reason == error_kind::kCancelled) {
+    outcome.end = gate_outcome_kind::kCancelled;
   }
-  const base::duration waited = ElapsedSince(begun);
-  if (admitted.choice == admission_choice::kRefuse) {
-    outcome = NotRun(admitted.reason, "refused by the gate");
-    outcome.wait = admitted.wait;
-    const bool server_leaves =
-        admitted.reason == error_kind::kDraining && !is_closed_;
-    if (server_leaves) outcome.wait = kLeavingRetryAfter;
-    if (admitted.reason == error_kind::kCancelled) {
-      outcome.end = gate_outcome_kind::kCancelled;
+  return outcome;
+}
+
+bool gate::Serves(const call_offer& offer) const {
+  return server_ && server_->service == offer.service &&
+         server_->version == offer.version;
+}
+
+net::awaitable<gate_outcome> gate::Run(const call_offer& offer,
+                                       backend_servers::http_request& request,
+                                       const body_reader& read_body,
+                                       backend_servers::cancellation& cancel) {
+  base::duration waited{};
+  gate_outcome outcome;
+  if (Serves(offer)) {
+    outcome = co_await AdmitAndRun(offer, request, read_body, cancel, waited);
+  } else {
+    outcome = NotRun(error_kind::kNoServer, "another server stands here");
+  }
+  LogOutcome(offer, request, outcome, waited);
+  co_return outcome;
+}
+
+net::awaitable<gate_outcome> gate::AdmitAndRun(
+    const call_offer& offer, backend_servers::http_request& request,
+    const body_reader& read_body, backend_servers::cancellation& cancel,
+    base::duration& waited) {
+  const auto begun = steady::now();
+  admission_request pending = ToAdmissionRequest(offer, begun);
+  const bool is_large = read_body && offer.body_bytes >= kLargeBodyBytes;
+  std::optional<held_body> held;
+  if (is_large) {
+    const admission_result received =
+        co_await ReceiveLargeBody(offer, pending, read_body, cancel);
+    waited = ElapsedSince(begun);
+    if (received.choice == admission_choice::kRefuse) {
+      gate_outcome refusal = ToRefusal(received);
+      refusal.status = Status(offer.route, {});
+      co_return refusal;
     }
-    outcome.status = Status(offer.route, {});
-    LogOutcome(offer, request, outcome, waited);
-    co_return outcome;
+    held.emplace(transfers_, offer.body_bytes);
+    // Another gate would need the body again.
+    pending.wait_limit = base::duration::max();
+  }
+  const admission_result admitted = co_await WaitForSlot(pending, cancel);
+  waited = ElapsedSince(begun);
+  if (admitted.choice == admission_choice::kRefuse) {
+    gate_outcome refusal = ToRefusal(admitted);
+    refusal.status = Status(offer.route, {});
+    co_return refusal;
   }
   bool has_whole_request = !cancel.IsCancelled();
-  if (has_whole_request && read_body) has_whole_request = co_await read_body();
+  const bool must_read = read_body && !is_large;
+  if (has_whole_request && must_read) has_whole_request = co_await read_body();
   if (!has_whole_request) {
     admission_.Leave({});
     NotifyWaiters();
-    outcome = Cancelled();
-    LogOutcome(offer, request, outcome, waited);
-    co_return outcome;
+    co_return Cancelled();
   }
   const auto sent = steady::now();
-  outcome = co_await SendAndTrack(offer, request, pending.deadline, cancel);
+  gate_outcome outcome =
+      co_await SendAndTrack(offer, request, pending.deadline, cancel);
   const base::duration took = ElapsedSince(sent);
   admission_.Leave(took);
-  RecordOutcome(offer, outcome, took);
+  measurements_.Record(offer, outcome, took, steady::now());
   NotifyWaiters();
   outcome.status = Status(offer.route, took);
-  LogOutcome(offer, request, outcome, waited);
   co_return outcome;
 }
 
@@ -287,6 +329,10 @@
                                         backend_servers::http_request& request,
                                         base::steady_instant deadline,
                                         backend_servers::cancellation& cancel) {
+  // The server may have changed while the request waited.
+  if (!Serves(offer)) {
+    co_return NotRun(error_kind::kNoServer, "another server stands here");
+  }
   const auto left =
       std::chrono::duration_cast<milliseconds>(deadline - steady::now());
   if (left.count() <= 0) {
@@ -345,52 +391,21 @@
   co_return answered;
 }
 
-void gate::RecordOutcome(const call_offer& offer, const gate_outcome& outcome,
-                         base::duration took) {
-  if (outcome.end == gate_outcome_kind::kCancelled) return;
-  const auto now = steady::now();
-  const bool is_refusal = outcome.end == gate_outcome_kind::kNotRun;
-  const bool failed = is_refusal || IsServerFailure(outcome);
-  failure_rate_ += ((failed ? 1 : 0) - failure_rate_) * kFailureWeight;
-  failure_rate_updated_at_ = now;
-  if (is_refusal) return;
-  const double typical_duration =
-      static_cast<double>(offer.typical_duration.count());
-  const double ratio =
-      typical_duration > 0
-          ? static_cast<double>(took.count()) / typical_duration
-          : 1;
-  if (!failed) {
-    latency_ratio_ += (std::clamp(ratio, kMinLatencyRatio, kMaxLatencyRatio) -
-                       latency_ratio_) *
-                      kLatencyRatioWeight;
-  }
-  if (IsCold(now) && !failed) return;
-  decisions::run_counts& counts = counts_[offer.route];
-  ++counts.total;
-  if (failed) ++counts.failed;
-  if (ratio > kSlowMultiple) ++counts.slow;
-}
-
 gate_status gate::Status(const std::string& route, base::duration took) const {
-  gate_status status;
-  status.load.running = admission_.Running();
-  status.load.waiting = admission_.Waiting();
-  status.load.slots = admission_.Slots();
   const auto now = steady::now();
-  status.load.latency_ratio = IsCold(now)
-                                  ? std::max(latency_ratio_, kColdLatencyRatio)
-                                  : latency_ratio_;
-  const double half_lives =
-      std::chrono::duration<double>(now - failure_rate_updated_at_) /
-      std::chrono::duration<double>(kFailureHalfLife);
-  status.load.failure_rate = failure_rate_ * std::exp2(-half_lives);
+  gate_status status;
+  status.load = {.running = admission_.Running(),
+                 .waiting = admission_.Waiting(),
+                 .slots = admission_.Slots(),
+                 .latency_ratio = measurements_.LatencyRatio(now),
+                 .failure_rate = measurements_.FailureRate(now),
+                 .bytes_per_second = transfers_.BytesPerSecond(),
+                 .body_backlog = transfers_.Backlog()};
   if (server_) {
     status.server_id = server_->id;
     status.version = server_->version;
   }
-  const auto counted = counts_.find(route);
-  if (counted != counts_.end()) status.counts = counted->second;
+  status.counts = measurements_.CountsOf(route);
   status.took = took;
   return status;
 }
@@ -417,6 +432,7 @@
        {"outcome", std::string(result)},
        {"status", is_good ? std::to_string(outcome.answer.result_int()) : ""},
        {"detail", outcome.detail},
+       {"body_bytes", std::to_string(offer.body_bytes)},
        {"waited_us", std::to_string(waited.count())},
        {"took_us",
         outcome.status ? std::to_string(outcome.status->took.count()) : ""},
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -2,15 +2,16 @@
 // to the server pass through it, so it knows what the server is running and
 // alone decides which requests to admit and when. A request that it reports as
 // "not run" has certainly not run: either no byte of it was sent to the server,
-// or the server itself refused it. The gate also measures the server: its
-// latency, its failure rate, and the outcomes of the requests on each route.
+// or the server itself refused it.
+//
+// A large body is asked for before the request takes a slot, when the link of
+// this instance has room for it and the request can still be on time: the
+// server's slots are never held by requests whose bodies are on the way.
 #ifndef FIREFLYSPAR_PROXY_GATE_H_
 #define FIREFLYSPAR_PROXY_GATE_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -21,11 +22,18 @@
 #include "base/metrics.h"
 #include "decisions/ranked_admission.h"
 #include "decisions/server_directory.h"
+#include "decisions/transfer_queue.h"
 #include "proxy/gate_messages.h"
 #include "proxy/header_names.h"
+#include "proxy/server_measurements.h"
+#include "proxy/turn_waiters.h"
 
 namespace fireflyspar::proxy {
 
+// A body of this length takes long enough on a slow link to be scheduled.
+// Smaller ones are asked for with the slot.
+inline constexpr std::uint64_t kLargeBodyBytes = 8192;
+
 // The state that a backend server reports periodically to the proxy.
 struct server_heartbeat {
   decisions::server_info server;
@@ -40,11 +48,16 @@
   base::clock_hook clock;
   base::metrics* metrics = nullptr;
   base::event_log* log = nullptr;
+  decisions::transfer_queue_options transfers;
   // Called when the published state of the server changes; nullopt when the
   // server is gone.
   std::function<void(const std::optional<decisions::server_info>&)> on_change;
 };
 
+// Reads the rest of a request whose body was not sent with its head. Returns
+// false if the body does not arrive whole.
+using body_reader = std::function<net::awaitable<bool>()>;
+
 class gate {
  public:
   explicit gate(gate_options options);
@@ -64,11 +77,11 @@
   void Close();
 
   // Runs the request at the server if and when it is admitted. `read_body`, if
-  // set, reads the request's body after admission.
-  net::awaitable<gate_outcome> Run(
-      const call_offer& offer, backend_servers::http_request& request,
-      const std::function<net::awaitable<bool>()>& read_body,
-      backend_servers::cancellation& cancel);
+  // set, reads the request's body once it may be sent.
+  net::awaitable<gate_outcome> Run(const call_offer& offer,
+                                   backend_servers::http_request& request,
+                                   const body_reader& read_body,
+                                   backend_servers::cancellation& cancel);
 
   const std::optional<decisions::server_info>& Server() const {
     return server_;
@@ -82,15 +95,30 @@
   }
 
  private:
-  struct waiter {
-    explicit waiter(const net::any_io_executor& executor) : timer(executor) {}
-    net::steady_timer timer;
-    std::optional<decisions::admission_result> result;
-  };
-
-  net::awaitable<decisions::admission_result> WaitForAdmission(
-      decisions::admission_request pending,
+  using admission_request = decisions::admission_request;
+  using admission_result = decisions::admission_result;
+
+  admission_request ToAdmissionRequest(const call_offer& offer,
+                                       base::steady_instant begun);
+
+  // Admits the request and runs it. Sets `waited` to the time before it was
+  // sent to the server.
+  net::awaitable<gate_outcome> AdmitAndRun(
+      const call_offer& offer, backend_servers::http_request& request,
+      const body_reader& read_body, backend_servers::cancellation& cancel,
+      base::duration& waited);
+
+  // Reads a large body when the link has room for it. Returns kRun once the
+  // body is here; the caller releases its bytes when the request has ended.
+  net::awaitable<admission_result> ReceiveLargeBody(
+      const call_offer& offer, const admission_request& pending,
+      const body_reader& read_body, backend_servers::cancellation& cancel);
+  net::awaitable<admission_result> WaitForLink(
+      const decisions::transfer_request& body,
       backend_servers::cancellation& cancel);
+  net::awaitable<admission_result> WaitForSlot(
+      const admission_request& pending, backend_servers::cancellation& cancel);
+  gate_outcome ToRefusal(const admission_result& refused) const;
   net::awaitable<gate_outcome> Send(const call_offer& offer,
                                     backend_servers::http_request& request,
                                     base::steady_instant deadline,
@@ -99,20 +127,20 @@
       const call_offer& offer, backend_servers::http_request& request,
       base::steady_instant deadline, backend_servers::cancellation& cancel);
   void NotifyWaiters();
-  void RecordOutcome(const call_offer& offer, const gate_outcome& outcome,
-                     base::duration took);
   void LogOutcome(const call_offer& offer,
                   const backend_servers::http_request& request,
                   const gate_outcome& outcome, base::duration waited);
   gate_status Status(const std::string& route, base::duration took) const;
+  // Returns whether the server here is of the offer's service and version.
+  bool Serves(const call_offer& offer) const;
   bool HasLeftBefore(const decisions::server_info& server);
-  bool IsCold(base::steady_instant now) const { return now < cold_until_; }
   void UpdateAdmission();
 
   gate_options options_;
   backend_servers::connection_pool pool_;
-  decisions::ranked_admission admission_;
-  std::map<std::uint64_t, waiter*> waiters_;
+  decisions::ranked_admission admission_;  // To the server's slots.
+  decisions::transfer_queue transfers_;    // Of large bodies over the link.
+  turn_waiters waiters_;
   std::multiset<std::string, std::less<>> running_;  // Request ids.
   std::uint64_t last_ticket_ = 0;
 
@@ -120,7 +148,6 @@
   base::address address_;
   std::uint64_t sequence_ = 0;
   base::steady_instant last_heartbeat_at_;
-  base::steady_instant cold_until_;
   bool is_leaving_ = false;
   // Servers whose notice to leave arrived before any heartbeat: by server id,
   // the Unix time in milliseconds at which the notice arrived. Heartbeats that
@@ -128,11 +155,7 @@
   std::map<std::string, std::int64_t, std::less<>> early_leaves_;
   bool is_closed_ = false;
   bool is_misaddressed_ = false;  // Another server responds at `address_`.
-
-  double latency_ratio_ = 1;
-  double failure_rate_ = 0;
-  base::steady_instant failure_rate_updated_at_;
-  std::map<std::string, decisions::run_counts, std::less<>> counts_;
+  server_measurements measurements_;
 };
 
 }  // namespace fireflyspar::proxy
--- a/src/proxy/gate_messages.cc
+++ b/src/proxy/gate_messages.cc
@@ -12,12 +12,66 @@
 
 constexpr std::string_view kEmpty = "-";
 
+constexpr char kEscape = '%';
+constexpr int kHexBase = 16;
+constexpr std::size_t kHexDigits = 2;
+
+// Names come from documents and may hold any byte, but a header's value may not
+// hold control characters, and a space would end the word.
+bool MustEscape(char c) {
+  constexpr char kFirstPrintable = '!';
+  constexpr char kLastPrintable = '~';
+  return c < kFirstPrintable || c > kLastPrintable || c == kEscape;
+}
+
+std::string Escape(std::string_view word) {
+  if (word == kEmpty) return "%2d";
+  std::string escaped;
+  for (const char each : word) {
+    if (!MustEscape(each)) {
+      escaped.push_back(each);
+      continue;
+    }
+    constexpr std::string_view kDigits = "0123456789abcdef";
+    const auto byte = static_cast<unsigned char>(each);
+    escaped.push_back(kEscape);
+    escaped.push_back(kDigits[byte / kHexBase]);
+    escaped.push_back(kDigits[byte % kHexBase]);
+  }
+  return escaped;
+}
+
+// Returns nothing if an escape is malformed.
+std::optional<std::string> Unescape(std::string_view word) {
+  std::string plain;
+  for (std::size_t at = 0; at < word.size(); ++at) {
+    if (word[at] != kEscape) {
+      plain.push_back(word[at]);
+      continue;
+    }
+    const std::string_view digits = word.substr(at + 1, kHexDigits);
+    unsigned byte = 0;
+    const char* const end = digits.data() + digits.size();
+    const auto parsed = std::from_chars(digits.data(), end, byte, kHexBase);
+    const bool is_whole = digits.size() == kHexDigits &&
+                          parsed.ec == std::errc() && parsed.ptr == end;
+    if (!is_whole) return std::nullopt;
+    plain.push_back(static_cast<char>(byte));
+    at += kHexDigits;
+  }
+  return plain;
+}
+
 // Writes words separated by spaces.
 class word_writer {
  public:
   word_writer& Add(std::string_view word) {
     if (!text_.empty()) text_.push_back(' ');
-    text_.append(word.empty() ? kEmpty : word);
+    if (word.empty()) {
+      text_.append(kEmpty);
+    } else {
+      text_.append(Escape(word));
+    }
     return *this;
   }
   word_writer& Add(std::int64_t number) { return Add(std::to_string(number)); }
@@ -37,12 +91,18 @@
 
   bool Ok() const { return ok_; }
 
+  // Returns whether there are no more words.
+  bool AtEnd() const { return text_.empty(); }
+
   std::string Word() {
     const std::size_t end = std::min(text_.find(' '), text_.size());
     const std::string_view word = text_.substr(0, end);
     text_.remove_prefix(std::min(end + 1, text_.size()));
     if (word.empty()) ok_ = false;
-    return word == kEmpty ? std::string() : std::string(word);
+    if (word == kEmpty) return {};
+    const auto plain = Unescape(word);
+    if (!plain) ok_ = false;
+    return plain.value_or(std::string());
   }
 
   std::int64_t Number() {
@@ -109,6 +169,7 @@
       .Add(offer.left)
       .Add(offer.time_to_objective);
   words.Add(offer.typical_duration);
+  words.Add(static_cast<std::int64_t>(offer.body_bytes));
   return std::move(words).Text();
 }
 
@@ -126,6 +187,9 @@
   offer.left = words.Duration();
   offer.time_to_objective = words.Duration();
   offer.typical_duration = words.Duration();
+  if (!words.AtEnd()) {
+    offer.body_bytes = static_cast<std::uint64_t>(words.Number());
+  }
   if (!words.Ok()) return std::nullopt;
   return offer;
 }
@@ -140,6 +204,8 @@
   words.Add(static_cast<std::int64_t>(status.counts.failed));
   words.Add(static_cast<std::int64_t>(status.counts.slow));
   words.Add(status.took);
+  words.Add(static_cast<std::int64_t>(status.load.bytes_per_second));
+  words.Add(static_cast<std::int64_t>(status.load.body_backlog));
   return std::move(words).Text();
 }
 
@@ -157,6 +223,10 @@
   status.counts.failed = static_cast<std::uint64_t>(words.Number());
   status.counts.slow = static_cast<std::uint64_t>(words.Number());
   status.took = words.Duration();
+  if (!words.AtEnd()) {
+    status.load.bytes_per_second = static_cast<double>(words.Number());
+    status.load.body_backlog = static_cast<std::uint64_t>(words.Number());
+  }
   if (!words.Ok()) return std::nullopt;
   return status;
 }
--- a/src/proxy/gate_messages.h
+++ b/src/proxy/gate_messages.h
@@ -1,6 +1,8 @@
 // The metadata that a router and a gate exchange with a request and its
 // response, and its encoding as HTTP headers between two proxies. A header's
-// value is a list of words separated by spaces; "-" stands for an empty word.
+// value is a list of words separated by spaces; "-" stands for an empty word,
+// and a byte that could not stand in a word is written as "%" and its two hex
+// digits. Words that a peer of an older version does not send have defaults.
 #ifndef FIREFLYSPAR_PROXY_GATE_MESSAGES_H_
 #define FIREFLYSPAR_PROXY_GATE_MESSAGES_H_
 
@@ -35,6 +37,7 @@
   base::duration time_to_objective{};
   // How long a request on this route typically takes at a server.
   base::duration typical_duration{};
+  std::uint64_t body_bytes = 0;  // Length of the request's body.
 
   bool operator==(const call_offer&) const = default;
 };
--- a/src/proxy/listener.cc
+++ b/src/proxy/listener.cc
@@ -88,6 +88,11 @@
                                        request_parser& parser,
                                        bool is_body_deferred,
                                        served_call& call);
+  net::awaitable<void> RefuseAndClose(connection& client,
+                                      http_response refusal);
+
+  // Returns an upper bound of the length of the body that is still to be read.
+  std::uint64_t MaxBodyBytes(const request_parser& parser) const;
 
   listener_options options;
   tcp::acceptor acceptor;
@@ -174,6 +179,24 @@
   co_return answer;
 }
 
+net::awaitable<void> listener::state::RefuseAndClose(connection& client,
+                                                     http_response refusal) {
+  refusal.keep_alive(false);
+  error_code write_error;
+  client.stream.expires_after(options.write_timeout);
+  co_await http::async_write(
+      client.stream, refusal,
+      net::redirect_error(net::use_awaitable, write_error));
+  co_await LingeringClose(client);
+}
+
+std::uint64_t listener::state::MaxBodyBytes(
+    const request_parser& parser) const {
+  if (parser.is_done()) return 0;
+  const auto length = parser.content_length();
+  return length ? *length : options.limits().body_bytes;
+}
+
 net::awaitable<void> listener::state::Serve(
     std::shared_ptr<connection> client) {
   ++connections;
@@ -187,6 +210,14 @@
     error_code error = co_await ReadHead(*client, parser);
     idle.erase(client);
     bool is_body_deferred = false;
+    body_reservation room(options.bodies);
+    if (!error && !room.TryReserve(MaxBodyBytes(*parser))) {
+      --active_requests;
+      co_await RefuseAndClose(
+          *client, backend_servers::MakeRefusal(
+                       error_kind::kShed, "no memory for the request's body"));
+      co_return;
+    }
     if (!error) {
       is_body_deferred = options.defer_bodies && !parser->is_done() &&
                          http::token_list(parser->get()[http::field::expect])
@@ -198,14 +229,7 @@
     }
     if (error) {
       auto refusal = backend_servers::RefusalForReadError(error);
-      if (!refusal) co_return;
-      refusal->keep_alive(false);
-      error_code write_error;
-      client->stream.expires_after(options.write_timeout);
-      co_await http::async_write(
-          client->stream, *refusal,
-          net::redirect_error(net::use_awaitable, write_error));
-      co_await LingeringClose(*client);
+      if (refusal) co_await RefuseAndClose(*client, *std::move(refusal));
       co_return;
     }
     client->stream.expires_never();
@@ -213,6 +237,7 @@
     bool keeps_open = parser->get().keep_alive();
     const bool is_head_request = parser->get().method() == http::verb::head;
     served_call call;
+    if (!is_body_deferred) room.Shrink(parser->get().body().size());
     http_response answer =
         co_await Handle(*client, *parser, is_body_deferred, call);
     if (call.cancel->IsCancelled()) {
--- a/src/proxy/listener.h
+++ b/src/proxy/listener.h
@@ -13,6 +13,7 @@
 #include "backend_servers/http.h"
 #include "base/result.h"
 #include "config/mesh_configuration.h"
+#include "proxy/body_memory.h"
 
 namespace fireflyspar::proxy {
 
@@ -45,6 +46,8 @@
   // Whether the handler decides when to ask for the body of a request with
   // "Expect: 100-continue", rather than the listener at once.
   bool defer_bodies = false;
+  // Room for the bodies of the requests in progress; null: unlimited.
+  body_memory* bodies = nullptr;
   int max_connections = 3000;
 };
 
--- a/src/proxy/object_store.h
+++ b/src/proxy/object_store.h
@@ -2,6 +2,10 @@
 // by kind and name; each has a revision, on which writes can be conditional.
 // Objects can be listed, and watches report the changes after a revision. The
 // deployment provides the calls as hooks.
+//
+// The store may be restored from an older copy (base/store_revision.h). A
+// revision from before that is never used in a call: a write that depends on it
+// fails with kConflict, and a watch from it with kHistoryGone.
 #ifndef FIREFLYSPAR_PROXY_OBJECT_STORE_H_
 #define FIREFLYSPAR_PROXY_OBJECT_STORE_H_
 
@@ -14,6 +18,7 @@
 
 #include "backend_servers/http.h"
 #include "base/result.h"
+#include "base/store_revision.h"
 
 namespace fireflyspar::proxy {
 
@@ -21,16 +26,16 @@
 
 struct stored_object {
   std::string name;
-  std::uint64_t revision = 0;  // Of the last change of the object.
+  base::store_revision revision;  // Of the last change of the object.
   // Of the object's creation; differs if it was deleted and recreated.
-  std::uint64_t create_revision = 0;
+  base::store_revision create_revision;
   nlohmann::json content;  // Null if missing or unreadable.
   nlohmann::json status;
 };
 
 struct object_list {
   std::vector<stored_object> objects;
-  std::uint64_t revision = 0;  // Of the store; a watch starts from it.
+  base::store_revision revision;  // Of the store; a watch starts from it.
 };
 
 struct object_change {
@@ -40,7 +45,7 @@
 
 struct object_changes {
   std::vector<object_change> changes;
-  std::uint64_t revision = 0;
+  base::store_revision revision;
 };
 
 template <typename T>
@@ -53,8 +58,9 @@
   // Waits up to `wait` for a change after `revision`, or until cancelled. With
   // `allow_stale` the watch is cheaper, but may report a change seconds late.
   std::function<async_result<object_changes>(
-      std::string kind, std::uint64_t revision, std::chrono::milliseconds wait,
-      bool allow_stale, backend_servers::cancellation& cancel)>
+      std::string kind, base::store_revision revision,
+      std::chrono::milliseconds wait, bool allow_stale,
+      backend_servers::cancellation& cancel)>
       watch;
   // Makes the cheapest call that the store offers. Fails if the store does not
   // serve this process within `timeout`.
@@ -62,7 +68,8 @@
       probe;
   std::function<async_result<stored_object>(std::string kind, std::string name)>
       get;
-  // Creates the object if its `revision` is 0, and fails if it already exists.
+  // Creates the object if its `revision` is none, and fails if it already
+  // exists.
   std::function<async_result<stored_object>(std::string kind,
                                             stored_object object)>
       put_content;
@@ -70,7 +77,7 @@
                                             stored_object object)>
       put_status;
   std::function<async_result<base::success>(std::string kind, std::string name,
-                                            std::uint64_t revision)>
+                                            base::store_revision revision)>
       remove;
 };
 
--- a/src/proxy/object_watcher.h
+++ b/src/proxy/object_watcher.h
@@ -63,7 +63,7 @@
   object_watcher_options options_;
   net::steady_timer pause_;
   std::shared_ptr<backend_servers::cancellation> watch_;
-  std::uint64_t revision_ = 0;
+  base::store_revision revision_;
   bool is_suspended_ = false;
   int consecutive_failures_ = 0;
 };
--- a/src/proxy/rollouts.cc
+++ b/src/proxy/rollouts.cc
@@ -33,10 +33,15 @@
                         decisions::IsSameOrder(known->second.Order(), order);
   if (is_known) {
     const rollout_state before = known->second.Order().state;
-    known->second.SetState(order.state);
-    if (known->second.Order().state != before) {
+    known->second.Update(order);
+    const rollout_order& now_known = known->second.Order();
+    if (now_known.state != before) {
       OnStateChange(known->second, "rollout_ended_elsewhere");
     }
+    // The store has lost what was written to it: nothing yet, or the outcome.
+    if (!has_state || now_known.state != order.state) {
+      options_.write_state(now_known);
+    }
     return;
   }
   if (!stable_versions_.contains(order.service)) {
--- a/src/proxy/rollouts.h
+++ b/src/proxy/rollouts.h
@@ -20,7 +20,8 @@
   base::event_log* log = nullptr;
   const decisions::server_directory* directory = nullptr;
   // Called to write an order's state to the store, provided that the store
-  // holds no state of the order yet or still says that it is running.
+  // holds no state of the order yet or still says that it is running. It may be
+  // called again for the same state.
   std::function<void(const decisions::rollout_order&)> write_state;
 };
 
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -105,6 +105,22 @@
          outcome.answer.result_int() != kGatewayTimeout;
 }
 
+// Moves the body of one message to another for its lifetime.
+class body_loan {
+ public:
+  body_loan(http_request& owner, http_request& borrower)
+      : owner_(owner), borrower_(borrower) {
+    owner_.body().swap(borrower_.body());
+  }
+  ~body_loan() { owner_.body().swap(borrower_.body()); }
+  body_loan(const body_loan&) = delete;
+  body_loan& operator=(const body_loan&) = delete;
+
+ private:
+  http_request& owner_;
+  http_request& borrower_;
+};
+
 gate_outcome FromExchange(exchange_result ended) {
   if (ended.end == exchange_outcome::kAnswered) {
     return FromMessage(std::move(ended.answer));
@@ -172,6 +188,9 @@
   if (context.route == nullptr) {
     co_return Refuse(call, error_kind::kNoSuchRoute, "no route matches");
   }
+  if (context.route->targets.empty()) {
+    co_return Refuse(call, error_kind::kNotReady, "the route can't be read");
+  }
   context.service = target_selector_.Next(*context.route);
   const auto requested_timeout =
       ParseMilliseconds(HeaderOf(call.request, options_.headers.deadline_ms));
@@ -326,8 +345,11 @@
             .is_near = each->data_centre == options_.data_centre,
             .slots = each->server.slots};
       });
-  const auto chosen = choice_.Choose(candidates, TypicalDuration(context),
-                                     options_.random, now);
+  const std::uint64_t body_bytes = context.call->request.body().size();
+  const decisions::choice_request wanted{
+      .typical_duration = TypicalDuration(context),
+      .body_bytes = body_bytes >= kLargeBodyBytes ? body_bytes : 0};
+  const auto chosen = choice_.Choose(candidates, wanted, options_.random, now);
   return chosen ? servers[chosen->index] : nullptr;
 }
 
@@ -349,15 +371,19 @@
                          .wait_limit = WaitLimit(context, may_wait),
                          .left = left(context.deadline),
                          .time_to_objective = left(context.objective),
-                         .typical_duration = TypicalDuration(context)};
-  choice_.OnSend(entry.instance);
+                         .typical_duration = TypicalDuration(context),
+                         .body_bytes = context.call->request.body().size()};
+  choice_.OnSend(entry.instance, offer.body_bytes);
   gate_outcome outcome;
-  if (entry.instance == options_.instance) {
-    http_request request = context.call->request;
-    outcome = co_await options_.local_gate->Run(offer, request, nullptr,
-                                                *context.call->cancel);
-  } else {
-    outcome = co_await OfferToRemote(context, entry, offer);
+  {
+    http_request request(context.call->request.base());
+    const body_loan lent(context.call->request, request);
+    if (entry.instance == options_.instance) {
+      outcome = co_await options_.local_gate->Run(offer, request, nullptr,
+                                                  *context.call->cancel);
+    } else {
+      outcome = co_await OfferToRemote(context, entry, offer, request);
+    }
   }
   choice_.OnEnd(entry.instance);
   RecordOutcome(context, entry, outcome);
@@ -376,8 +402,8 @@
 
 net::awaitable<gate_outcome> router::OfferToRemote(request_context& context,
                                                    const server_entry& to,
-                                                   const call_offer& offer) {
-  http_request request = context.call->request;
+                                                   const call_offer& offer,
+                                                   http_request& request) {
   request.set(kOfferHeader, ToText(offer));
   request.keep_alive(true);
   exchange_options options;
@@ -385,7 +411,9 @@
   options.deadline = context.deadline + kAnswerGrace;
   options.connect_timeout = kConnectTimeout;
   options.dead_peer_timeout = kDeadPeerTimeout;
-  options.body_after_continue = !offer.is_idempotent && !request.body().empty();
+  const bool must_be_granted =
+      !offer.is_idempotent || offer.body_bytes >= kLargeBodyBytes;
+  options.body_after_continue = must_be_granted && !request.body().empty();
   if (offer.wait_limit < offer.left) {
     options.continue_timeout =
         std::chrono::ceil<milliseconds>(offer.wait_limit) + kGrantTimeout;
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -95,12 +95,14 @@
   bool IsNestedCall(std::string_view request_id) const;
   net::awaitable<gate_outcome> RunWithRetries(request_context& context);
   net::awaitable<gate_outcome> OfferUntilAdmitted(request_context& context);
+  // Offers the request; its body is lent to the message that is sent, so that
+  // it is in memory once.
   net::awaitable<gate_outcome> Offer(request_context& context,
                                      decisions::server_entry entry,
                                      bool may_wait);
-  net::awaitable<gate_outcome> OfferToRemote(request_context& context,
-                                             const decisions::server_entry& to,
-                                             const call_offer& offer);
+  net::awaitable<gate_outcome> OfferToRemote(
+      request_context& context, const decisions::server_entry& to,
+      const call_offer& offer, backend_servers::http_request& request);
   base::duration WaitLimit(const request_context& context, bool may_wait) const;
   std::vector<const decisions::server_entry*> UsableServers(
       const request_context& context, std::string_view version,
--- a/tests/adapter/fake_store.cc
+++ b/tests/adapter/fake_store.cc
@@ -114,7 +114,22 @@
   return parts;
 }
 
+void fake_store::RestoreCopy() {
+  kinds_ = copy_.kinds;
+  revision_ = copy_.revision;
+  std::erase_if(history_, [this](const event& each) {
+    return each.revision > revision_;
+  });
+  ++era_;
+}
+
 net::awaitable<http_response> fake_store::Serve(proxy::served_call& call) {
+  http_response answer = co_await Execute(call);
+  answer.set("Store-Era", std::to_string(era_));
+  co_return answer;
+}
+
+net::awaitable<http_response> fake_store::Execute(proxy::served_call& call) {
   const std::string target(backend_servers::ToView(call.request.target()));
   targets_.push_back(target);
   if (refusals_left_ > 0) {
@@ -150,8 +165,11 @@
   const std::uint64_t from = std::stoull(parts.query["watch"]);
   const auto until = std::chrono::steady_clock::now() +
                      milliseconds(std::stoll(parts.query["wait_ms"]));
-  if (from < forgotten_until_) co_return Answer(410, json::object());
+  const bool has_history = from >= forgotten_until_ && from <= revision_;
+  if (!has_history) co_return Answer(410, json::object());
+  const std::uint64_t begun_in = era_;
   for (;;) {
+    if (era_ != begun_in) co_return Answer(503, json::object());
     json events = json::array();
     for (const event& each : history_) {
       if (each.kind != parts.kind || each.revision <= from) continue;
--- a/tests/adapter/fake_store.h
+++ b/tests/adapter/fake_store.h
@@ -40,6 +40,14 @@
   // Executes the next write and never sends its response.
   void LoseNextAnswer() { loses_answer_ = true; }
 
+  // Remembers all objects and the revision, for RestoreCopy.
+  void SaveCopy() { copy_ = {.kinds = kinds_, .revision = revision_}; }
+
+  // Becomes what it was at SaveCopy, as after a loss: later changes are gone,
+  // their revisions are given out again, waiting watches end, and the era in
+  // all responses rises by one.
+  void RestoreCopy();
+
   // Makes watches from an earlier revision fail because their history is gone.
   void ForgetHistory() { forgotten_until_ = revision_; }
 
@@ -56,6 +64,11 @@
     bool is_removal = false;
   };
 
+  struct saved_copy {
+    std::map<std::string, std::map<std::string, nlohmann::json>> kinds;
+    std::uint64_t revision = 0;
+  };
+
   struct call_parts {
     std::string kind;
     std::string name;
@@ -67,6 +80,8 @@
 
   net::awaitable<backend_servers::http_response> Serve(
       proxy::served_call& call);
+  net::awaitable<backend_servers::http_response> Execute(
+      proxy::served_call& call);
   net::awaitable<backend_servers::http_response> Watch(call_parts parts);
   backend_servers::http_response List(const call_parts& parts) const;
   backend_servers::http_response Write(
@@ -81,6 +96,8 @@
   std::vector<event> history_;
   std::uint64_t revision_ = 10;
   std::uint64_t forgotten_until_ = 0;
+  std::uint64_t era_ = 1;
+  saved_copy copy_;
   std::size_t page_size_ = 500;
   unsigned refusal_ = 0;
   int refusals_left_ = 0;
--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -18,6 +18,11 @@
 
 constexpr char kKind[] = "things";
 
+// Returns a revision from before any restore of the fake store.
+base::store_revision InFirstEra(std::uint64_t number) {
+  return {.number = number, .era = 1};
+}
+
 struct client_fixture {
   // Runs the loop until the call has ended.
   template <typename T>
@@ -38,9 +43,11 @@
   net::io_context loop;
   base::metrics metrics;
   fake_store store{loop};
+  int restores = 0;
   store_client client{{.executor = loop.get_executor(),
                        .address = store.Address(),
-                       .metrics = &metrics}};
+                       .metrics = &metrics,
+                       .on_restored = [this] { ++restores; }}};
   proxy::object_store hooks = client.Hooks();
 };
 
@@ -62,7 +69,7 @@
   const auto listed = fixture.Wait(fixture.hooks.list(kKind));
   REQUIRE(listed);
   CHECK(listed->objects.empty());
-  CHECK(listed->revision > 0);
+  CHECK(listed->revision.number > 0);
 }
 
 TEST_CASE("a watch returns the changes after its revision") {
@@ -71,20 +78,20 @@
   fixture.store.Put(kKind, "a", {{"n", 2}});
   fixture.store.Remove(kKind, "a");
   backend_servers::cancellation never;
-  const auto watched = fixture.Wait(
-      fixture.hooks.watch(kKind, before, milliseconds(1000), false, never));
+  const auto watched = fixture.Wait(fixture.hooks.watch(
+      kKind, InFirstEra(before), milliseconds(1000), false, never));
   REQUIRE(watched);
   REQUIRE(watched->changes.size() == 2);
   CHECK(watched->changes[0].object.content == json{{"n", 2}});
   CHECK(watched->changes[1].is_removal);
-  CHECK(watched->revision == before + 2);
+  CHECK(watched->revision.number == before + 2);
 }
 
 TEST_CASE("a watch without changes returns none after its wait") {
   client_fixture fixture;
   backend_servers::cancellation never;
-  const auto watched = fixture.Wait(
-      fixture.hooks.watch(kKind, 10, milliseconds(30), false, never));
+  const auto watched = fixture.Wait(fixture.hooks.watch(
+      kKind, InFirstEra(10), milliseconds(30), false, never));
   REQUIRE(watched);
   CHECK(watched->changes.empty());
 }
@@ -96,8 +103,8 @@
   fixture.store.Put(kKind, "a", {{"n", 2}});
   fixture.store.ForgetHistory();
   backend_servers::cancellation never;
-  const auto watched = fixture.Wait(
-      fixture.hooks.watch(kKind, before, milliseconds(1000), false, never));
+  const auto watched = fixture.Wait(fixture.hooks.watch(
+      kKind, InFirstEra(before), milliseconds(1000), false, never));
   REQUIRE_FALSE(watched);
   CHECK(watched.Failure().Kind() == error_kind::kHistoryGone);
 }
@@ -106,7 +113,8 @@
   client_fixture fixture;
   fixture.store.Put(kKind, "a", {{"n", 1}});
   backend_servers::cancellation never;
-  fixture.Wait(fixture.hooks.watch(kKind, 1, milliseconds(10), true, never));
+  fixture.Wait(
+      fixture.hooks.watch(kKind, InFirstEra(1), milliseconds(10), true, never));
   CHECK(fixture.store.Targets().back().ends_with("&allow_stale=1"));
   CHECK(fixture.Wait(fixture.hooks.probe(milliseconds(1000))));
   CHECK(fixture.store.Targets().back().ends_with("?allow_stale=1"));
@@ -117,7 +125,7 @@
   const stored_object made{.name = "a", .content = {{"n", 1}}};
   const auto written = fixture.Wait(fixture.hooks.put_content(kKind, made));
   REQUIRE(written);
-  CHECK(written->revision > 0);
+  CHECK(written->revision.number > 0);
   const auto again = fixture.Wait(fixture.hooks.put_content(kKind, made));
   REQUIRE_FALSE(again);
   CHECK(again.Failure().Kind() == error_kind::kConflict);
@@ -126,7 +134,8 @@
 TEST_CASE("of two writes on one revision the first is kept") {
   client_fixture fixture;
   const std::uint64_t revision = fixture.store.Put(kKind, "a", {{"n", 1}});
-  stored_object mine{.name = "a", .revision = revision, .content = {{"n", 2}}};
+  stored_object mine{
+      .name = "a", .revision = InFirstEra(revision), .content = {{"n", 2}}};
   REQUIRE(fixture.Wait(fixture.hooks.put_content(kKind, mine)));
   mine.content = {{"n", 3}};
   const auto second = fixture.Wait(fixture.hooks.put_content(kKind, mine));
@@ -138,8 +147,9 @@
 TEST_CASE("a status is written without changing the content") {
   client_fixture fixture;
   const std::uint64_t revision = fixture.store.Put(kKind, "a", {{"n", 1}});
-  const stored_object changed{
-      .name = "a", .revision = revision, .status = {{"state", "well"}}};
+  const stored_object changed{.name = "a",
+                              .revision = InFirstEra(revision),
+                              .status = {{"state", "well"}}};
   REQUIRE(fixture.Wait(fixture.hooks.put_status(kKind, changed)));
   const json stored = *fixture.store.Find(kKind, "a");
   CHECK(stored["spec"] == json{{"n", 1}});
@@ -150,10 +160,10 @@
   client_fixture fixture;
   const std::uint64_t revision = fixture.store.Put(kKind, "a", {{"n", 1}});
   const auto wrong =
-      fixture.Wait(fixture.hooks.remove(kKind, "a", revision - 1));
+      fixture.Wait(fixture.hooks.remove(kKind, "a", InFirstEra(revision - 1)));
   REQUIRE_FALSE(wrong);
   CHECK(wrong.Failure().Kind() == error_kind::kConflict);
-  CHECK(fixture.Wait(fixture.hooks.remove(kKind, "a", revision)));
+  CHECK(fixture.Wait(fixture.hooks.remove(kKind, "a", InFirstEra(revision))));
   CHECK_FALSE(fixture.store.Find(kKind, "a"));
 }
 
@@ -186,5 +196,66 @@
   CHECK(fixture.store.Find(kKind, "a"));
 }
 
+// These guard against a number that stands for two changes: the store is
+// restored from a copy and gives the lost revisions out again.
+
+TEST_CASE("a restore of the store is noticed once") {
+  client_fixture fixture;
+  fixture.store.SaveCopy();
+  fixture.Wait(fixture.hooks.list(kKind));
+  CHECK(fixture.restores == 0);
+  fixture.store.RestoreCopy();
+  fixture.Wait(fixture.hooks.list(kKind));
+  fixture.Wait(fixture.hooks.probe(milliseconds(1000)));
+  CHECK(fixture.restores == 1);
+}
+
+TEST_CASE("a write that depends on a lost revision is not sent") {
+  client_fixture fixture;
+  fixture.store.Put(kKind, "a", {{"n", 1}});
+  fixture.store.SaveCopy();
+  fixture.store.Put(kKind, "a", {{"n", 2}});
+  auto lost = *fixture.Wait(fixture.hooks.get(kKind, "a"));
+  fixture.store.RestoreCopy();
+  const std::uint64_t again = fixture.store.Put(kKind, "a", {{"n", 3}});
+  REQUIRE(again == lost.revision.number);
+  fixture.Wait(fixture.hooks.list(kKind));
+  lost.content = {{"n", 4}};
+  lost.status = {{"n", 4}};
+  for (const auto& hook :
+       {fixture.hooks.put_content, fixture.hooks.put_status}) {
+    const auto written = fixture.Wait(hook(kKind, lost));
+    REQUIRE_FALSE(written);
+    CHECK(written.Failure().Kind() == error_kind::kConflict);
+  }
+  const auto removed =
+      fixture.Wait(fixture.hooks.remove(kKind, "a", lost.revision));
+  REQUIRE_FALSE(removed);
+  CHECK((*fixture.store.Find(kKind, "a"))["spec"] == json{{"n", 3}});
+}
+
+TEST_CASE("a watch from a lost revision fails, even if the store accepts it") {
+  client_fixture fixture;
+  fixture.store.Put(kKind, "a", {{"n", 1}});
+  fixture.store.SaveCopy();
+  fixture.store.Put(kKind, "a", {{"n", 2}});
+  const auto listed = fixture.Wait(fixture.hooks.list(kKind));
+  fixture.store.RestoreCopy();
+  fixture.store.Put(kKind, "a", {{"n", 3}});
+  backend_servers::cancellation never;
+  const auto watched = fixture.Wait(fixture.hooks.watch(
+      kKind, listed->revision, milliseconds(10), false, never));
+  REQUIRE_FALSE(watched);
+  CHECK(watched.Failure().Kind() == error_kind::kHistoryGone);
+  CHECK(fixture.restores == 1);
+}
+
+TEST_CASE("a revision of a later era is later, whatever its number") {
+  const base::store_revision lost{.number = 20, .era = 1};
+  const base::store_revision again{.number = 12, .era = 2};
+  CHECK(lost < again);
+  CHECK(again < base::store_revision{.number = 13, .era = 2});
+}
+
 }  // namespace
 }  // namespace fireflyspar::platform
--- a/tests/decisions/gate_choice_test.cc
+++ b/tests/decisions/gate_choice_test.cc
@@ -26,7 +26,8 @@
 chosen_gate ChooseFrom(const gate_choice& choice,
                        std::span<const gate_candidate> candidates,
                        base::steady_instant now = kNow) {
-  return *choice.Choose(candidates, kTypical, base::SeededRandom(1), now);
+  return *choice.Choose(candidates, {.typical_duration = kTypical},
+                        base::SeededRandom(1), now);
 }
 
 TEST_CASE("without any report a gate in the same data centre is chosen") {
@@ -77,7 +78,10 @@
   const base::random_hook random = base::SeededRandom(1);
   std::vector<int> chosen(kGates);
   for (int i = 0; i < kRequests; ++i) {
-    ++chosen[choice.Choose(candidates, kTypical, random, kNow)->index];
+    ++chosen[choice
+                 .Choose(candidates, {.typical_duration = kTypical}, random,
+                         kNow)
+                 ->index];
   }
   CHECK(std::ranges::count_if(chosen, [](int n) { return n > 0; }) >= 14);
   CHECK(*std::ranges::max_element(chosen) < kRequests / 2);
@@ -143,7 +147,43 @@
 }
 
 TEST_CASE("without candidates there is no choice") {
-  CHECK_FALSE(gate_choice().Choose({}, kTypical, base::SeededRandom(1), kNow));
+  CHECK_FALSE(gate_choice().Choose({}, {.typical_duration = kTypical},
+                                   base::SeededRandom(1), kNow));
+}
+
+// The load: large bodies go to gates on slow links.
+TEST_CASE("a large body avoids a gate whose link is busy") {
+  gate_choice choice;
+  const std::vector<gate_candidate> both = {{.instance = "busy", .slots = 6},
+                                            {.instance = "idle", .slots = 6}};
+  const auto now = kNow;
+  const gate_report idle{.slots = 6, .bytes_per_second = 1e6};
+  gate_report busy = idle;
+  busy.body_backlog = 1'000'000;
+  choice.OnReport("busy", busy, now);
+  choice.OnReport("idle", idle, now);
+  const choice_request upload{.typical_duration = kTypical,
+                              .body_bytes = 100'000};
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    const auto chosen =
+        choice.Choose(both, upload, base::SeededRandom(seed), now);
+    CHECK(both[chosen->index].instance == "idle");
+  }
+}
+
+TEST_CASE("bodies that were just sent count as the link's backlog") {
+  gate_choice choice;
+  const std::vector<gate_candidate> both = {{.instance = "a", .slots = 6},
+                                            {.instance = "b", .slots = 6}};
+  const gate_report idle{.slots = 6, .bytes_per_second = 1e6};
+  choice.OnReport("a", idle, kNow);
+  choice.OnReport("b", idle, kNow);
+  choice.OnSend("a", 2'000'000);
+  choice.OnSend("b");
+  const choice_request upload{.typical_duration = kTypical,
+                              .body_bytes = 100'000};
+  const auto chosen = choice.Choose(both, upload, base::SeededRandom(1), kNow);
+  CHECK(both[chosen->index].instance == "b");
 }
 
 }  // namespace
--- a/tests/decisions/version_rollout_test.cc
+++ b/tests/decisions/version_rollout_test.cc
@@ -12,7 +12,7 @@
 constexpr base::steady_instant kStart{std::chrono::hours(1)};
 
 rollout_order Order() {
-  return {.id = 1,
+  return {.created = {1},
           .service = "stock",
           .target_version = "v2",
           .period = seconds(16)};
@@ -99,8 +99,11 @@
 
 TEST_CASE("the outcome of a rollout never changes") {
   version_rollout rollout(Order(), kStart);
-  rollout.SetState(rollout_state::kRolledBack);
-  rollout.SetState(rollout_state::kSucceeded);
+  rollout_order read = rollout.Order();
+  read.state = rollout_state::kRolledBack;
+  rollout.Update(read);
+  read.state = rollout_state::kSucceeded;
+  rollout.Update(read);
   CHECK(rollout.Order().state == rollout_state::kRolledBack);
 }
 
--- a/tests/proxy/gate_test.cc
+++ b/tests/proxy/gate_test.cc
@@ -25,7 +25,8 @@
 
 struct gate_fixture {
   // Offers a request to the gate and returns its outcome.
-  gate_outcome Offer() {
+  gate_outcome Offer(std::uint64_t body_bytes = 0,
+                     const body_reader& read_body = nullptr) {
     gate_outcome outcome;
     backend_servers::http_request request;
     backend_servers::cancellation never;
@@ -35,11 +36,12 @@
                            .wait_limit = milliseconds(100),
                            .left = milliseconds(100),
                            .time_to_objective = milliseconds(100),
-                           .typical_duration = milliseconds(10)};
+                           .typical_duration = milliseconds(10),
+                           .body_bytes = body_bytes};
     net::co_spawn(
         loop,
         [&]() -> net::awaitable<void> {
-          outcome = co_await tested.Run(offer, request, nullptr, never);
+          outcome = co_await tested.Run(offer, request, read_body, never);
         },
         net::detached);
     loop.restart();
@@ -127,5 +129,59 @@
   CHECK(outcome.wait == base::duration(0));
 }
 
+// Guards against slots that uploads hold: bodies cross a slow link while the
+// server is idle.
+TEST_CASE("a large body on its way holds no slot") {
+  gate_fixture fixture;
+  decisions::server_info server = Server(server_condition::kServing);
+  server.slots = 1;
+  fixture.tested.OnHeartbeat(
+      {.server = server, .address = kServerAddress, .sequence = 1});
+  bool is_reading = false;
+  int running_meanwhile = -1;
+  const body_reader read_body = [&]() -> net::awaitable<bool> {
+    is_reading = true;
+    running_meanwhile = fixture.tested.Running();
+    co_return false;
+  };
+  const gate_outcome outcome = fixture.Offer(100'000, read_body);
+  CHECK(is_reading);
+  CHECK(running_meanwhile == 0);
+  CHECK(outcome.end == gate_outcome_kind::kCancelled);
+}
+
+TEST_CASE("a body is not asked for when the request would be refused") {
+  gate_fixture fixture;
+  fixture.tested.OnHeartbeat({.server = Server(server_condition::kServing),
+                              .address = kServerAddress,
+                              .sequence = 1});
+  fixture.tested.OnLeave("i-1");
+  bool is_reading = false;
+  const body_reader read_body = [&]() -> net::awaitable<bool> {
+    is_reading = true;
+    co_return true;
+  };
+  CHECK(fixture.Offer(100'000, read_body).reason ==
+        base::error_kind::kDraining);
+  CHECK_FALSE(is_reading);
+}
+
+// The load: a body that the link can't move before the objective.
+TEST_CASE("a body that is too large for the link is refused by its length") {
+  gate_fixture fixture;
+  fixture.tested.OnHeartbeat({.server = Server(server_condition::kServing),
+                              .address = kServerAddress,
+                              .sequence = 1});
+  bool is_reading = false;
+  const body_reader read_body = [&]() -> net::awaitable<bool> {
+    is_reading = true;
+    co_return true;
+  };
+  const gate_outcome outcome = fixture.Offer(1'000'000'000, read_body);
+  CHECK(outcome.end == gate_outcome_kind::kNotRun);
+  CHECK(outcome.reason == base::error_kind::kShed);
+  CHECK_FALSE(is_reading);
+}
+
 }  // namespace
 }  // namespace fireflyspar::proxy
--- a/tests/proxy/messages_test.cc
+++ b/tests/proxy/messages_test.cc
@@ -20,7 +20,8 @@
           .wait_limit = std::chrono::milliseconds(40),
           .left = milliseconds(800),
           .time_to_objective = milliseconds(-20),
-          .typical_duration = milliseconds(100)};
+          .typical_duration = milliseconds(100),
+          .body_bytes = 60'000};
 }
 
 decisions::server_entry Entry() {
@@ -41,9 +42,45 @@
   CHECK(*parsed == Offer());
 }
 
+// A peer of an older version does not send the length of the body, which is the
+// last word.
+TEST_CASE("an offer without a body length has none") {
+  call_offer offer = Offer();
+  const std::string text = ToText(offer);
+  const auto parsed = ParseOffer(text.substr(0, text.rfind(' ')));
+  REQUIRE(parsed);
+  offer.body_bytes = 0;
+  CHECK(*parsed == offer);
+}
+
 TEST_CASE("a truncated offer is rejected") {
-  const std::string text = ToText(Offer());
-  CHECK_FALSE(ParseOffer(text.substr(0, text.rfind(' '))));
+  std::string text = ToText(Offer());
+  text.resize(text.rfind(' '));
+  while (text.find(' ') != std::string::npos) {
+    text.resize(text.rfind(' '));
+    CHECK_FALSE(ParseOffer(text));
+  }
+}
+
+// Names come from documents. A line break would begin another header.
+TEST_CASE("names with any bytes are unchanged after encoding and parsing") {
+  call_offer offer = Offer();
+  offer.service = "a b";
+  offer.version = "-";
+  offer.route = "100%\r\nEvil: 1";
+  offer.caller_service = "\xc3\xa9\x01";
+  const std::string text = ToText(offer);
+  CHECK(text.find('\n') == std::string::npos);
+  const auto parsed = ParseOffer(text);
+  REQUIRE(parsed);
+  CHECK(*parsed == offer);
+}
+
+TEST_CASE("a malformed escape is rejected") {
+  std::string text = ToText(Offer());
+  const std::string escape = GENERATE("%", "%4", "%zz", "%-1");
+  text.replace(0, std::string("stock").size(), escape);
+  CHECK_FALSE(ParseOffer(text));
 }
 
 TEST_CASE("an outcome is unchanged after conversion to a message and back") {
--- a/tests/proxy/object_watcher_test.cc
+++ b/tests/proxy/object_watcher_test.cc
@@ -21,16 +21,16 @@
   scripted_store()
       : hooks({.list = [this](const std::string&) { return List(); },
                .watch =
-                   [this](const std::string&, std::uint64_t revision,
+                   [this](const std::string&, base::store_revision revision,
                           milliseconds, bool, backend_servers::cancellation&) {
-                     return Watch(revision);
+                     return Watch(revision.number);
                    },
                .get = [this](const std::string&,
                              const std::string&) { return Get(); }}) {}
 
   async_result<object_list> List() {
     ++lists;
-    object_list listed{.objects = objects, .revision = revision};
+    object_list listed{.objects = objects, .revision = {revision}};
     co_return listed;
   }
 
@@ -97,7 +97,7 @@
 TEST_CASE("the next watch starts from the revision of the last change") {
   scripted_store store;
   store.watch_results.emplace_back(
-      object_changes{.changes = {{.object = {.name = "a"}}}, .revision = 7});
+      object_changes{.changes = {{.object = {.name = "a"}}}, .revision = {7}});
   store.RunWatcher(milliseconds(100));
   CHECK(store.lists == 1);
   CHECK(store.watched == std::vector<std::uint64_t>{1, 7});
@@ -111,8 +111,9 @@
   scripted_store store;
   store.watch_results.emplace_back(object_changes{
       .changes = {{.object = {.name = "a"}}, {.object = {.name = "b"}}},
-      .revision = 7});
-  store.newest = {{.name = "c", .revision = 9}, {.name = "d", .revision = 12}};
+      .revision = {7}});
+  store.newest = {{.name = "c", .revision = {9}},
+                  {.name = "d", .revision = {12}}};
   store.RunWatcher(milliseconds(100));
   CHECK(store.seen == std::vector<std::string>{"a", "b", "c", "d"});
   CHECK(store.gets == 3);
@@ -123,7 +124,7 @@
 TEST_CASE("the object is not polled after a single change") {
   scripted_store store;
   store.watch_results.emplace_back(
-      object_changes{.changes = {{.object = {.name = "a"}}}, .revision = 7});
+      object_changes{.changes = {{.object = {.name = "a"}}}, .revision = {7}});
   store.RunWatcher(milliseconds(100));
   CHECK(store.gets == 0);
 }
@@ -132,7 +133,7 @@
   scripted_store store;
   store.watch_results.emplace_back(object_changes{
       .changes = {{.object = {.name = "a"}}, {.object = {.name = "b"}}},
-      .revision = 7});
+      .revision = {7}});
   store.RunWatcher(milliseconds(100));
   CHECK(store.gets == 1);
   CHECK(store.lists == 2);
--- a/tests/proxy/rollouts_test.cc
+++ b/tests/proxy/rollouts_test.cc
@@ -22,7 +22,7 @@
 }
 
 rollout_order Order(std::string version) {
-  return {.id = 1,
+  return {.created = {1},
           .service = "stock",
           .target_version = std::move(version),
           .period = seconds(16)};
@@ -119,5 +119,35 @@
   CHECK(fixture.written.front().state == rollout_state::kRolledBack);
 }
 
+// Guards against a bad version that gets traffic again: the store is restored
+// from a copy, and the operator writes the lost order anew, without a state.
+TEST_CASE("an outcome is kept and written again after a restore of the store") {
+  rollout_fixture fixture;
+  rollout_order order = Order("v2");
+  order.state = rollout_state::kRolledBack;
+  fixture.tested.OnRolloutOrder(order, true, {});
+  fixture.written.clear();
+  rollout_order rewritten = Order("v2");
+  rewritten.created = {.number = 1, .era = 1};
+  fixture.tested.OnRolloutOrder(rewritten, false, {});
+  REQUIRE(fixture.written.size() == 1);
+  CHECK(fixture.written.front().state == rollout_state::kRolledBack);
+  CHECK(fixture.written.front().created == rewritten.created);
+  CHECK(fixture.SentTo("v2") == 0);
+}
+
+TEST_CASE("a second order for the same version after a restore is new") {
+  rollout_fixture fixture;
+  rollout_order order = Order("v2");
+  order.state = rollout_state::kRolledBack;
+  fixture.tested.OnRolloutOrder(order, true, {});
+  order.created = {.number = 1, .era = 1};
+  fixture.tested.OnRolloutOrder(order, true, {});
+  rollout_order second = Order("v2");
+  second.created = {.number = 2, .era = 1};
+  fixture.tested.OnRolloutOrder(second, false, {});
+  CHECK(fixture.SentTo("v2") > 0);
+}
+
 }  // namespace
 }  // namespace fireflyspar::proxy
