Read the store in few processes and pass changes on between peers

Change: four readers in each data centre, by rendezvous hash; the others watch late, for a tenth of the price, and ask a peer whose answer shows a later revision. Probes of late readers every 2 s, entries of servers listed late and gathered for 1 s. Late readers leave the writing of rollout states to the others for a while. What is read late never replaces what is known (entry_publisher, shared_objects).

Also: router.cc split (caller_answers).

--- a/src/app/entry_publisher.cc
+++ b/src/app/entry_publisher.cc
@@ -29,9 +29,15 @@
   if (NeedsWrite()) wake_timer_.cancel();
 }
 
-void entry_publisher::OnStored(
-    const std::optional<proxy::stored_object>& stored) {
-  stored_ = stored.value_or(proxy::stored_object{});
+void entry_publisher::OnStored(const proxy::stored_object& stored) {
+  if (stored.revision < stored_.revision) return;
+  stored_ = stored;
+  if (NeedsWrite()) wake_timer_.cancel();
+}
+
+void entry_publisher::OnMissing(const base::store_revision& revision) {
+  if (revision < stored_.revision) return;
+  stored_ = {};
   if (NeedsWrite()) wake_timer_.cancel();
 }
 
@@ -66,7 +72,7 @@
                          kind == error_kind::kResponseLost;
   if (!must_read) co_return false;
   const auto current =
-      co_await options_.store->get(options_.kind, options_.instance);
+      co_await options_.store->get(options_.kind, options_.instance, false);
   if (current) {
     stored_ = *current;
   } else if (current.Failure().Kind() == error_kind::kNotFound) {
--- a/src/app/entry_publisher.h
+++ b/src/app/entry_publisher.h
@@ -35,8 +35,12 @@
   // Sets the desired entry; Run() writes it to the store.
   void SetDesired(const decisions::server_entry& desired);
 
-  // Notes the entry as it is in the store now, or nothing if it does not exist.
-  void OnStored(const std::optional<proxy::stored_object>& stored);
+  // Notes the entry as it was read from the store. Reads may be late: what is
+  // older than the latest known state has no effect.
+  void OnStored(const proxy::stored_object& stored);
+
+  // Notes that the store had no entry at this revision.
+  void OnMissing(const base::store_revision& revision);
 
   // Retries a failed write at once instead of after its delay.
   void Retry() { wake_timer_.cancel(); }
--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -34,8 +34,7 @@
 
 constexpr milliseconds kTick{100};
 
-// Number of ticks between two checks for changed settings.
-constexpr int kTicksPerSettingsCheck = 10;
+constexpr int kTicksPerSecond = 10;
 
 // After SIGTERM the readiness check fails at once, but requests are still
 // served for this time, so that everything that routes requests to this process
@@ -128,12 +127,14 @@
       gate_(GateOptions()),
       rollouts_(RolloutsOptions()),
       router_(RouterOptions()),
-      rollout_writer_({.executor = executor_,
-                       .adapter = &adapter_,
-                       .store = &store_,
-                       .log = &log_,
-                       .random = random_,
-                       .clock = clock_}),
+      rollout_writer_(
+          {.executor = executor_,
+           .adapter = &adapter_,
+           .store = &store_,
+           .log = &log_,
+           .random = random_,
+           .clock = clock_,
+           .reads_at_once = [this] { return follower_.ReadsAtOnce(); }}),
       publisher_({.executor = executor_,
                   .store = &store_,
                   .log = &log_,
@@ -146,17 +147,18 @@
 }
 
 proxy::gate_options proxy_process::GateOptions() {
-  return {
-      .executor = executor_,
-      .headers = adapter_.headers,
-      .clock = clock_,
-      .metrics = &metrics_,
-      .log = &log_,
-      .transfers = {.bytes_per_second = settings_.link_bytes_per_second,
-                    .max_held_bytes = BodyMemory()},
-      .on_change = [this](const std::optional<decisions::server_info>& server) {
-        OnServerChange(server);
-      }};
+  return {.executor = executor_,
+          .headers = adapter_.headers,
+          .clock = clock_,
+          .metrics = &metrics_,
+          .log = &log_,
+          .transfers = {.bytes_per_second = settings_.link_bytes_per_second,
+                        .max_held_bytes = BodyMemory()},
+          .held = [this] { return follower_.Held(); },
+          .on_change =
+              [this](const std::optional<decisions::server_info>& server) {
+                OnServerChange(server);
+              }};
 }
 
 std::uint64_t proxy_process::BodyMemory() const {
@@ -184,7 +186,12 @@
           .directory = &directory_,
           .rollout_states = &rollouts_,
           .budget = settings_.repeats,
-          .own_service = [this] { return settings_.service; }};
+          .own_service = [this] { return settings_.service; },
+          .on_peer_holds =
+              [this](const decisions::server_entry& peer,
+                     const proxy::shared_revisions& held) {
+                follower_.OnPeerHolds(peer, held);
+              }};
 }
 
 void proxy_process::MakeListeners() {
@@ -229,6 +236,7 @@
           .random = random_,
           .clock = clock_,
           .instance = settings_.instance,
+          .data_centre = settings_.data_centre,
           .gate = settings_.gate,
           .configuration_limit = settings_.configuration_limit,
           .directory = &directory_,
@@ -258,6 +266,9 @@
 
 net::awaitable<http_response> proxy_process::OnGateCall(
     proxy::served_call& call) {
+  const auto shared =
+      proxy::ParseSharedPath(backend_servers::ToView(call.request.target()));
+  if (shared) co_return follower_.AnswerPeer(*shared);
   const auto offer = proxy::ParseOffer(
       backend_servers::HeaderOf(call.request, proxy::kOfferHeader));
   if (!offer) {
@@ -360,8 +371,9 @@
     gate_.Tick();
     rollouts_.Tick();
     log_.Flush();
-    if (ticks % kTicksPerSettingsCheck == 0 &&
-        adapter_.settings_stamp() != settings_stamp_) {
+    follower_.Tick();
+    if (ticks % kTicksPerSecond != 0) continue;
+    if (adapter_.settings_stamp() != settings_stamp_) {
       Reload("the settings changed");
     }
   }
--- a/src/app/rollout_writer.cc
+++ b/src/app/rollout_writer.cc
@@ -20,6 +20,10 @@
 constexpr milliseconds kRunningWait{400};
 constexpr milliseconds kOutcomeWait{250};
 
+// Time that a process which reads late leaves to the others, and the longest
+// random delay after it.
+constexpr milliseconds kLateReaderWait{1500};
+
 // Longest random delay before a failed write is retried.
 constexpr milliseconds kRetryWait{500};
 
@@ -40,10 +44,12 @@
 
 net::awaitable<void> rollout_writer::Pause(base::duration max_delay) {
   const double fraction = base::ToUnitInterval(options_.random());
-  net::steady_timer timer(
-      options_.executor,
-      base::duration(static_cast<std::int64_t>(
-          static_cast<double>(max_delay.count()) * fraction)));
+  co_await Sleep(base::duration(static_cast<std::int64_t>(
+      static_cast<double>(max_delay.count()) * fraction)));
+}
+
+net::awaitable<void> rollout_writer::Sleep(base::duration span) {
+  net::steady_timer timer(options_.executor, span);
   boost::system::error_code ignored;
   co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
 }
@@ -68,6 +74,10 @@
     rollout_order order) {
   const bool is_outcome = order.state != rollout_state::kRunning;
   co_await Pause(is_outcome ? kOutcomeWait : kRunningWait);
+  if (!options_.reads_at_once()) {
+    co_await Sleep(kLateReaderWait);
+    co_await Pause(kLateReaderWait);
+  }
   for (int attempts = 0; attempts < kMaxAttempts && !IsSettled(order);
        ++attempts) {
     proxy::stored_object object = objects_[order.service];
@@ -89,7 +99,7 @@
     // Another proxy may have written the state, or this write may have taken
     // effect and its answer was lost.
     const auto current = co_await options_.store->get(
-        options_.adapter->names.rollout_kind, order.service);
+        options_.adapter->names.rollout_kind, order.service, false);
     if (current) OnObject(*current);
   }
   pending_writes_.erase({order.service, order.target_version, order.state});
--- a/src/app/rollout_writer.h
+++ b/src/app/rollout_writer.h
@@ -5,6 +5,7 @@
 #ifndef FIREFLYSPAR_APP_ROLLOUT_WRITER_H_
 #define FIREFLYSPAR_APP_ROLLOUT_WRITER_H_
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -23,6 +24,10 @@
   base::event_log* log = nullptr;
   base::random_hook random;
   base::clock_hook clock;
+  // Returns whether this process reads rollouts as soon as they change. Other
+  // processes learn late that a state was written, so they leave the write to
+  // those for a while.
+  std::function<bool()> reads_at_once = [] { return true; };
 };
 
 class rollout_writer {
@@ -40,6 +45,7 @@
 
  private:
   net::awaitable<void> WriteAfterRandomDelay(decisions::rollout_order order);
+  net::awaitable<void> Sleep(base::duration span);
   // Waits for a random time of at most `max_delay`.
   net::awaitable<void> Pause(base::duration max_delay);
   // Returns whether the order's state no longer has to be written.
--- a/src/app/store_follower.cc
+++ b/src/app/store_follower.cc
@@ -9,6 +9,7 @@
 #include <chrono>
 
 #include "config/partial_configuration.h"
+#include "decisions/store_readers.h"
 #include "proxy/server_entry_json.h"
 
 namespace fireflyspar::app {
@@ -22,9 +23,23 @@
 // single call. For the configuration, which is long, the delay is this fraction
 // of store_follower_options::configuration_limit.
 constexpr double kConfigurationBatchFraction = 0.55;
-constexpr milliseconds kEntryBatchDelay{600};
+// The same for a process on which others wait.
+constexpr double kReaderBatchFraction = 0.25;
+constexpr milliseconds kEntryBatchDelay{1000};
 constexpr milliseconds kRolloutBatchDelay{100};
 
+// Mean wait before a probe of the store: in general, and by a process that
+// reads late.
+constexpr milliseconds kProbe{1000};
+constexpr milliseconds kLateProbe{2000};
+
+// Time after the start by which a process knows enough peers to decide whether
+// it reads the store at once.
+constexpr milliseconds kDecideAfter{2000};
+
+// Pause between two decisions; there is none before the first one.
+constexpr milliseconds kDecisionPause{1000};
+
 // Time after a restore of the store in which all processes notice it and write
 // their entries again.
 constexpr milliseconds kRestoreGrace{5000};
@@ -36,18 +51,28 @@
 }  // namespace
 
 store_follower::store_follower(store_follower_options options)
-    : options_(std::move(options)), watchdog_(WatchdogOptions()) {
+    : options_(std::move(options)),
+      watchdog_(WatchdogOptions()),
+      puller_({.executor = options_.executor,
+               .log = options_.log,
+               .on_object = [this](proxy::shared_kind kind,
+                                   const proxy::stored_object& object) {
+                 Apply(kind, object);
+               }}) {
   const auto add = [this](proxy::object_watcher_options watched) {
     watchers_.push_back(
         std::make_unique<proxy::object_watcher>(std::move(watched)));
   };
   add(ConfigurationWatcherOptions());
+  configuration_watcher_ = watchers_.back().get();
   add(EntryWatcherOptions());
   entry_watcher_ = watchers_.back().get();
   add(RolloutWatcherOptions());
+  rollout_watcher_ = watchers_.back().get();
 }
 
 void store_follower::Start() {
+  started_ = steady::now();
   for (const auto& each : watchers_) {
     net::co_spawn(options_.executor, each->Run(), net::detached);
   }
@@ -55,55 +80,66 @@
 }
 
 proxy::object_watcher_options store_follower::WatcherOptions(
-    const std::string& kind, milliseconds coalesce_delay) {
+    const std::string& kind, std::function<milliseconds()> coalesce_delay) {
   return {.executor = options_.executor,
           .kind = kind,
           .store = options_.store,
           .log = options_.log,
           .random = options_.random,
-          .coalesce_delay = coalesce_delay};
+          .coalesce_delay = std::move(coalesce_delay),
+          .may_list_late = [this] { return reading_ == reading::kLate; },
+          .may_watch_late = [this] { return reading_ != reading::kAtOnce; }};
+}
+
+milliseconds store_follower::ConfigurationDelay() const {
+  const bool others_wait = reading_ == reading::kAtOnce && has_followers_;
+  return std::chrono::duration_cast<milliseconds>(
+      options_.configuration_limit *
+      (others_wait ? kReaderBatchFraction : kConfigurationBatchFraction));
 }
 
 proxy::object_watcher_options store_follower::ConfigurationWatcherOptions() {
   const store_names& names = options_.adapter->names;
-  auto watched = WatcherOptions(
-      names.configuration_kind,
-      std::chrono::duration_cast<milliseconds>(options_.configuration_limit *
-                                               kConfigurationBatchFraction));
+  auto watched = WatcherOptions(names.configuration_kind,
+                                [this] { return ConfigurationDelay(); });
   watched.latest_only_object = names.configuration_name;
-  watched.on_list = [this](std::span<const proxy::stored_object> all) {
-    std::ranges::for_each(all, [this](const proxy::stored_object& each) {
-      OnConfiguration(each);
-    });
+  watched.on_list = [this](const proxy::object_list& listed) {
+    for (const proxy::stored_object& each : listed.objects) {
+      Apply(proxy::shared_kind::kConfiguration, each);
+    }
   };
   watched.on_change = [this](const proxy::object_change& change) {
-    if (!change.is_removal) OnConfiguration(change.object);
+    if (change.is_removal) return;
+    Apply(proxy::shared_kind::kConfiguration, change.object);
   };
   return watched;
 }
 
 proxy::object_watcher_options store_follower::RolloutWatcherOptions() {
-  auto watched =
-      WatcherOptions(options_.adapter->names.rollout_kind, kRolloutBatchDelay);
-  watched.on_list = [this](std::span<const proxy::stored_object> all) {
-    std::ranges::for_each(
-        all, [this](const proxy::stored_object& each) { OnRollout(each); });
+  auto watched = WatcherOptions(options_.adapter->names.rollout_kind,
+                                [] { return kRolloutBatchDelay; });
+  watched.on_list = [this](const proxy::object_list& listed) {
+    for (const proxy::stored_object& each : listed.objects) {
+      Apply(proxy::shared_kind::kRollouts, each);
+    }
   };
   watched.on_change = [this](const proxy::object_change& change) {
-    if (!change.is_removal) OnRollout(change.object);
+    if (change.is_removal) return;
+    Apply(proxy::shared_kind::kRollouts, change.object);
   };
   return watched;
 }
 
 proxy::object_watcher_options store_follower::EntryWatcherOptions() {
-  auto watched =
-      WatcherOptions(options_.adapter->names.entry_kind, kEntryBatchDelay);
+  auto watched = WatcherOptions(options_.adapter->names.entry_kind,
+                                [] { return kEntryBatchDelay; });
   // Entries may arrive late: the gate decides on each offer by its own, current
   // knowledge of its server, so a router with an outdated entry does little
   // harm.
-  watched.allow_stale = true;
-  watched.on_list = [this](std::span<const proxy::stored_object> all) {
-    OnEntries(all);
+  watched.may_list_late = [] { return true; };
+  watched.may_watch_late = [] { return true; };
+  watched.on_list = [this](const proxy::object_list& listed) {
+    OnEntries(listed);
   };
   watched.on_change = [this](const proxy::object_change& change) {
     OnEntry(change);
@@ -112,19 +148,68 @@
 }
 
 proxy::store_watchdog_options store_follower::WatchdogOptions() {
-  return {.executor = options_.executor,
-          .store = options_.store,
-          .log = options_.log,
-          .random = options_.random,
-          .on_lost =
-              [this] {
-                for (const auto& each : watchers_) each->Suspend();
-              },
-          .on_regained =
-              [this] {
-                for (const auto& each : watchers_) each->Restart();
-                options_.publisher->Retry();
-              }};
+  return {
+      .executor = options_.executor,
+      .store = options_.store,
+      .log = options_.log,
+      .random = options_.random,
+      .interval =
+          [this] { return reading_ == reading::kLate ? kLateProbe : kProbe; },
+      .on_lost =
+          [this] {
+            for (const auto& each : watchers_) each->Suspend();
+          },
+      .on_regained =
+          [this] {
+            for (const auto& each : watchers_) each->Restart();
+            options_.publisher->Retry();
+          }};
+}
+
+void store_follower::Tick() {
+  const auto now = steady::now();
+  if (now < next_decision_at_) return;
+  std::vector<std::string> peers;
+  for (const auto& [instance, entry] : options_.directory->Entries()) {
+    const bool is_peer = entry.data_centre == options_.data_centre &&
+                         !options_.router->IsUnreachable(instance);
+    if (is_peer) peers.push_back(instance);
+  }
+  has_followers_ =
+      peers.size() > decisions::store_readers_options{}.readers_per_data_centre;
+  const bool can_decide = has_followers_ || now - started_ >= kDecideAfter;
+  if (!can_decide) return;
+  next_decision_at_ = now + kDecisionPause;
+  const reading next = decisions::IsStoreReader(options_.instance, peers)
+                           ? reading::kAtOnce
+                           : reading::kLate;
+  if (next == reading_) return;
+  reading_ = next;
+  options_.log->Write(event_priority::kStateChange, "store_reading",
+                      {{"reads", next == reading::kAtOnce ? "at_once" : "late"},
+                       {"peers", std::to_string(peers.size())}});
+  configuration_watcher_->Rewatch();
+  rollout_watcher_->Rewatch();
+}
+
+backend_servers::http_response store_follower::AnswerPeer(
+    proxy::shared_kind kind) const {
+  backend_servers::http_response answer(backend_servers::http::status::ok, 11);
+  answer.set(backend_servers::http::field::content_type, "application/cbor");
+  answer.body() = shared_.Encode(kind);
+  answer.prepare_payload();
+  return answer;
+}
+
+// Objects may come from the store, also late, or from peers, in any order.
+void store_follower::Apply(proxy::shared_kind kind,
+                           const proxy::stored_object& object) {
+  if (!shared_.Put(kind, object)) return;
+  if (kind == proxy::shared_kind::kConfiguration) {
+    OnConfiguration(object);
+  } else {
+    OnRollout(object);
+  }
 }
 
 void store_follower::OnStoreRestored() {
@@ -241,13 +326,14 @@
       {{"name", object.name}, {"result", base::NameOfResult(removed)}});
 }
 
-void store_follower::OnEntries(std::span<const proxy::stored_object> objects) {
+void store_follower::OnEntries(const proxy::object_list& listed) {
+  const std::vector<proxy::stored_object>& objects = listed.objects;
   std::vector<std::string> names(objects.size());
   std::ranges::transform(objects, names.begin(), &proxy::stored_object::name);
   const bool may_lack_entries = steady::now() < keep_entries_until_;
   if (!may_lack_entries) options_.directory->KeepOnly(names);
   if (std::ranges::find(names, options_.instance) == names.end()) {
-    options_.publisher->OnStored(std::nullopt);
+    options_.publisher->OnMissing(listed.revision);
   }
   for (const proxy::stored_object& each : objects) PutEntry(each);
   options_.router->OnDirectoryChange();
@@ -257,7 +343,7 @@
   bool has_changed = false;
   if (change.is_removal) {
     if (change.object.name == options_.instance) {
-      options_.publisher->OnStored(std::nullopt);
+      options_.publisher->OnMissing(change.object.revision);
     }
     has_changed = options_.directory->Remove(change.object.name);
   } else {
--- a/src/app/store_follower.h
+++ b/src/app/store_follower.h
@@ -3,6 +3,10 @@
 // rollouts. Each kind of object is listed and then watched. A document that
 // can't be read, or a part of it, costs only itself.
 //
+// In a large fleet only a few processes wait for each change
+// (decisions/store_readers.h). The others ask a peer whose answer shows that it
+// holds more (proxy/shared_objects.h), and read the store cheaply and late.
+//
 // While the store is unavailable, the process goes on with what it knows. When
 // the store was restored from an older copy, everything is listed anew: a
 // configuration that is older than the one in force is not adopted, and entries
@@ -24,6 +28,8 @@
 #include "proxy/object_watcher.h"
 #include "proxy/rollouts.h"
 #include "proxy/router.h"
+#include "proxy/shared_object_puller.h"
+#include "proxy/shared_objects.h"
 #include "proxy/store_watchdog.h"
 
 namespace fireflyspar::app {
@@ -36,8 +42,10 @@
   base::metrics* metrics = nullptr;
   base::random_hook random;
   base::clock_hook clock;
-  std::string instance;  // Of this process.
-  base::address gate;    // Of this process.
+  // Of this process.
+  std::string instance;
+  std::string data_centre;
+  base::address gate;
   // Time within which a new configuration has to be in force.
   std::chrono::milliseconds configuration_limit{2000};
   // These learn what was read.
@@ -58,17 +66,46 @@
   // Must be called when the store was restored from a copy.
   void OnStoreRestored();
 
+  // Must be called some times a second: reconsiders who reads the store.
+  void Tick();
+
+  // Notes what another process holds of the shared objects, and asks it for
+  // them if it holds more than this one.
+  void OnPeerHolds(const decisions::server_entry& peer,
+                   const proxy::shared_revisions& held) {
+    puller_.OnPeerHolds(peer.gate, held, Held());
+  }
+
+  // Returns whether this process waits for each change at the store.
+  bool ReadsAtOnce() const { return reading_ != reading::kLate; }
+
+  proxy::shared_revisions Held() const { return shared_.Revisions(); }
+
+  // Answers another process that asks for the objects of a kind.
+  backend_servers::http_response AnswerPeer(proxy::shared_kind kind) const;
+
  private:
+  // How this process reads the configuration and the rollout orders.
+  enum class reading {
+    kUndecided,  // Listed at once, then late, until the peers are known.
+    kAtOnce,
+    kLate,
+  };
+
   proxy::object_watcher_options WatcherOptions(
-      const std::string& kind, std::chrono::milliseconds coalesce_delay);
+      const std::string& kind,
+      std::function<std::chrono::milliseconds()> coalesce_delay);
   proxy::object_watcher_options ConfigurationWatcherOptions();
   proxy::object_watcher_options RolloutWatcherOptions();
   proxy::object_watcher_options EntryWatcherOptions();
   proxy::store_watchdog_options WatchdogOptions();
 
+  void Apply(proxy::shared_kind kind, const proxy::stored_object& object);
+  std::chrono::milliseconds ConfigurationDelay() const;
+
   void OnConfiguration(const proxy::stored_object& object);
   void OnRollout(const proxy::stored_object& object);
-  void OnEntries(std::span<const proxy::stored_object> objects);
+  void OnEntries(const proxy::object_list& listed);
   void OnEntry(const proxy::object_change& change);
   bool PutEntry(const proxy::stored_object& object);
   net::awaitable<void> RemoveEntry(proxy::stored_object object);
@@ -81,8 +118,17 @@
 
   store_follower_options options_;
   std::vector<std::unique_ptr<proxy::object_watcher>> watchers_;
+  // Elements of watchers_.
+  proxy::object_watcher* configuration_watcher_ = nullptr;
   proxy::object_watcher* entry_watcher_ = nullptr;
+  proxy::object_watcher* rollout_watcher_ = nullptr;
   proxy::store_watchdog watchdog_;
+  proxy::shared_objects shared_;
+  proxy::shared_object_puller puller_;
+  reading reading_ = reading::kUndecided;
+  bool has_followers_ = false;  // Whether other processes read late.
+  base::steady_instant started_;
+  base::steady_instant next_decision_at_;
   // Until then, entries that the store lacks are kept.
   base::steady_instant keep_entries_until_;
   // Why the configuration that was rejected last was rejected.
--- a/src/backend_servers/http.cc
+++ b/src/backend_servers/http.cc
@@ -89,6 +89,11 @@
   return {.ip = endpoint.address().to_string(), .port = endpoint.port()};
 }
 
+std::string_view HostOf(const http_request& request) {
+  const std::string_view host = HeaderOf(request, "Host");
+  return host.substr(0, host.find(':'));
+}
+
 http_response MakeRefusal(base::error_kind kind, std::string_view detail) {
   return MakeRefusal(kind, detail, base::ErrorInfoFor(kind).state);
 }
--- a/src/backend_servers/http.h
+++ b/src/backend_servers/http.h
@@ -79,6 +79,9 @@
 std::string_view HeaderOf(const http_request& message, std::string_view name);
 std::string_view HeaderOf(const http_response& message, std::string_view name);
 
+// Returns the host that the request is for, without a port.
+std::string_view HostOf(const http_request& request);
+
 // Drops the headers that concern one connection only (RFC 9110, 7.6.1).
 void DropConnectionHeaders(http::fields& headers);
 
--- a/src/base/cbor_depth.cc
+++ b/src/base/cbor_depth.cc
@@ -1,4 +1,4 @@
-#include "platform/cbor_depth.h"
+#include "base/cbor_depth.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -6,7 +6,7 @@
 #include <optional>
 #include <vector>
 
-namespace fireflyspar::platform {
+namespace fireflyspar::base {
 namespace {
 
 // Number of items left in a container whose length is not given; a break byte
@@ -136,4 +136,4 @@
   return false;
 }
 
-}  // namespace fireflyspar::platform
+}  // namespace fireflyspar::base
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -407,6 +407,7 @@
   }
   status.counts = measurements_.CountsOf(route);
   status.took = took;
+  status.held = options_.held();
   return status;
 }
 
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -49,6 +49,8 @@
   base::metrics* metrics = nullptr;
   base::event_log* log = nullptr;
   decisions::transfer_queue_options transfers;
+  // Returns what this process holds of the shared objects.
+  std::function<shared_revisions()> held = [] { return shared_revisions{}; };
   // Called when the published state of the server changes; nullopt when the
   // server is gone.
   std::function<void(const std::optional<decisions::server_info>&)> on_change;
--- a/src/proxy/gate_messages.cc
+++ b/src/proxy/gate_messages.cc
@@ -206,6 +206,10 @@
   words.Add(status.took);
   words.Add(static_cast<std::int64_t>(status.load.bytes_per_second));
   words.Add(static_cast<std::int64_t>(status.load.body_backlog));
+  for (const base::store_revision& each : status.held) {
+    words.Add(static_cast<std::int64_t>(each.era));
+    words.Add(static_cast<std::int64_t>(each.number));
+  }
   return std::move(words).Text();
 }
 
@@ -227,6 +231,11 @@
     status.load.bytes_per_second = static_cast<double>(words.Number());
     status.load.body_backlog = static_cast<std::uint64_t>(words.Number());
   }
+  for (base::store_revision& each : status.held) {
+    if (words.AtEnd()) break;
+    each.era = static_cast<std::uint64_t>(words.Number());
+    each.number = static_cast<std::uint64_t>(words.Number());
+  }
   if (!words.Ok()) return std::nullopt;
   return status;
 }
--- a/src/proxy/gate_messages.h
+++ b/src/proxy/gate_messages.h
@@ -15,6 +15,7 @@
 #include "base/hooks.h"
 #include "decisions/gate_choice.h"
 #include "decisions/version_rollout.h"
+#include "proxy/shared_objects.h"
 
 namespace fireflyspar::proxy {
 
@@ -52,6 +53,7 @@
   std::string version;
   decisions::run_counts counts;  // Outcomes on the request's route.
   base::duration took{};         // This request's time at the server.
+  shared_revisions held;         // What the gate's process holds of each kind.
 };
 
 std::string ToText(const gate_status& status);
--- a/src/proxy/gate_reachability.h
+++ b/src/proxy/gate_reachability.h
@@ -43,6 +43,11 @@
     data_centres_.OnReachable(data_centre);
   }
 
+  // Returns whether the gate could not be reached and is probed.
+  bool IsUnreachable(std::string_view instance) const {
+    return probed_instances_.contains(instance);
+  }
+
   bool IsCutOff(std::string_view data_centre, base::steady_instant now) const {
     return data_centres_.IsCutOff(data_centre, now);
   }
--- a/src/proxy/object_store.h
+++ b/src/proxy/object_store.h
@@ -54,9 +54,11 @@
 // The calls fail with kPlatformUnavailable, kPlatformOverRate, kResponseLost,
 // kConflict, kNotFound and, for a watch, kHistoryGone.
 struct object_store {
-  std::function<async_result<object_list>(std::string kind)> list;
-  // Waits up to `wait` for a change after `revision`, or until cancelled. With
-  // `allow_stale` the watch is cheaper, but may report a change seconds late.
+  // With `allow_stale`, here and below, the call is cheaper, but may return
+  // what was true some seconds ago.
+  std::function<async_result<object_list>(std::string kind, bool allow_stale)>
+      list;
+  // Waits up to `wait` for a change after `revision`, or until cancelled.
   std::function<async_result<object_changes>(
       std::string kind, base::store_revision revision,
       std::chrono::milliseconds wait, bool allow_stale,
@@ -66,7 +68,8 @@
   // serve this process within `timeout`.
   std::function<async_result<base::success>(std::chrono::milliseconds timeout)>
       probe;
-  std::function<async_result<stored_object>(std::string kind, std::string name)>
+  std::function<async_result<stored_object>(std::string kind, std::string name,
+                                            bool allow_stale)>
       get;
   // Creates the object if its `revision` is none, and fails if it already
   // exists.
--- a/src/proxy/object_watcher.cc
+++ b/src/proxy/object_watcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 #include "base/retry_delay.h"
 
@@ -39,18 +40,27 @@
 
 void object_watcher::Suspend() {
   is_suspended_ = true;
+  is_rewatching_ = false;
   if (watch_) watch_->Cancel();
 }
 
 void object_watcher::Restart() {
   is_suspended_ = false;
+  is_rewatching_ = false;
   consecutive_failures_ = 0;
   if (watch_) watch_->Cancel();
   pause_.cancel();
 }
 
+void object_watcher::Rewatch() {
+  if (!watch_ || is_suspended_) return;
+  is_rewatching_ = true;
+  watch_->Cancel();
+}
+
 net::awaitable<bool> object_watcher::List() {
-  const auto listed = co_await options_.store->list(options_.kind);
+  const auto listed =
+      co_await options_.store->list(options_.kind, options_.may_list_late());
   if (!listed) {
     const base::duration pause = RetryPause(listed.Failure());
     co_await Pause(pause);
@@ -58,7 +68,7 @@
   }
   consecutive_failures_ = 0;
   revision_ = listed->revision;
-  options_.on_list(listed->objects);
+  options_.on_list(*listed);
   co_return true;
 }
 
@@ -67,9 +77,9 @@
   watch_ = std::make_shared<backend_servers::cancellation>();
   const auto watch = watch_;
   const auto watched = co_await options_.store->watch(
-      options_.kind, revision_, kWatchWait, options_.allow_stale, *watch);
+      options_.kind, revision_, kWatchWait, options_.may_watch_late(), *watch);
   watch_ = nullptr;
-  if (watch->IsCancelled()) co_return false;
+  if (watch->IsCancelled()) co_return std::exchange(is_rewatching_, false);
   if (!watched) {
     // A watch that failed may have missed changes, and another watch from the
     // same revision may never report them.
@@ -83,7 +93,7 @@
   revision_ = std::max(revision_, watched->revision);
   for (const object_change& each : watched->changes) options_.on_change(each);
   const bool has_several_changes = watched->changes.size() > 1;
-  if (!watched->changes.empty()) co_await Pause(options_.coalesce_delay);
+  if (!watched->changes.empty()) co_await Pause(options_.coalesce_delay());
   if (is_suspended_) co_return false;
   if (!has_several_changes || options_.latest_only_object.empty()) {
     co_return true;
@@ -95,13 +105,13 @@
 // Returns false if the objects must be listed again.
 net::awaitable<bool> object_watcher::PollUntilUnchanged() {
   for (;;) {
-    const auto read = co_await options_.store->get(options_.kind,
-                                                   options_.latest_only_object);
+    const auto read = co_await options_.store->get(
+        options_.kind, options_.latest_only_object, options_.may_watch_late());
     if (!read || is_suspended_) co_return false;
     if (read->revision <= revision_) co_return true;
     revision_ = read->revision;
     options_.on_change({.object = *read});
-    co_await Pause(options_.coalesce_delay);
+    co_await Pause(options_.coalesce_delay());
     if (is_suspended_) co_return false;
   }
 }
--- a/src/proxy/object_watcher.h
+++ b/src/proxy/object_watcher.h
@@ -12,7 +12,6 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <span>
 #include <string>
 
 #include "base/event_log.h"
@@ -27,15 +26,18 @@
   const object_store* store = nullptr;
   base::event_log* log = nullptr;
   base::random_hook random;
-  // Pause after a change, so that further changes come in one response.
-  std::chrono::milliseconds coalesce_delay{200};
-  // Whether changes may be reported some seconds late, which is cheaper.
-  bool allow_stale = false;
+  // Returns the pause after a change, so that further changes come in one
+  // response.
+  std::function<std::chrono::milliseconds()> coalesce_delay;
+  // Return whether a list, and a change, may now be some seconds late, which is
+  // cheaper.
+  std::function<bool()> may_list_late = [] { return false; };
+  std::function<bool()> may_watch_late = [] { return false; };
   // Name of an object of which only the newest state matters; empty if all
   // changes matter.
   std::string latest_only_object;
-  // Called with all current objects of the kind after each list.
-  std::function<void(std::span<const stored_object>)> on_list;
+  // Called with all objects of the kind after each list.
+  std::function<void(const object_list&)> on_list;
   std::function<void(const object_change&)> on_change;
 };
 
@@ -53,6 +55,10 @@
   // Starts over with a list.
   void Restart();
 
+  // Begins the watch in progress anew from the same revision, since
+  // may_watch_late returns another value now.
+  void Rewatch();
+
  private:
   net::awaitable<bool> List();
   net::awaitable<bool> Watch();
@@ -65,6 +71,7 @@
   std::shared_ptr<backend_servers::cancellation> watch_;
   base::store_revision revision_;
   bool is_suspended_ = false;
+  bool is_rewatching_ = false;
   int consecutive_failures_ = 0;
 };
 
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -4,7 +4,6 @@
 #include <charconv>
 #include <chrono>
 #include <cmath>
-#include <cstdio>
 #include <optional>
 #include <utility>
 
@@ -20,7 +19,6 @@
 using backend_servers::http_request;
 using backend_servers::http_response;
 using base::error_kind;
-using base::event_priority;
 using decisions::gate_candidate;
 using decisions::server_entry;
 using std::chrono::milliseconds;
@@ -60,12 +58,6 @@
 // Exponential smoothing of the typical time: one response has the weight 1 / n.
 constexpr int kTypicalSmoothing = 16;
 
-// Retry-After times: the lower bound, the default if there is no estimate, and
-// the upper bound.
-constexpr milliseconds kMinRetryAfter{50};
-constexpr milliseconds kNoServerRetryAfter{300};
-constexpr milliseconds kMaxRetryAfter{1000};
-
 constexpr unsigned kFirstServerErrorStatus = 500;
 constexpr unsigned kGatewayTimeout = 504;
 
@@ -80,25 +72,10 @@
   return milliseconds(number);
 }
 
-std::string HostOf(const http_request& request) {
-  const std::string_view host = HeaderOf(request, "Host");
-  return std::string(host.substr(0, host.find(':')));
-}
-
 std::string_view TargetOf(const http_request& request) {
   return backend_servers::ToView(request.target());
 }
 
-void SetRetryAfter(http_response& answer, base::duration wait) {
-  constexpr double kMicrosecondsPerSecond = 1e6;
-  std::array<char, 32> text{};
-  const int length =
-      std::snprintf(text.data(), text.size(), "%.3f",
-                    static_cast<double>(wait.count()) / kMicrosecondsPerSecond);
-  answer.set(http::field::retry_after,
-             std::string(text.data(), static_cast<std::size_t>(length)));
-}
-
 bool IsServerError(const gate_outcome& outcome) {
   return outcome.end == gate_outcome_kind::kAnswered &&
          outcome.answer.result_int() >= kFirstServerErrorStatus &&
@@ -147,6 +124,9 @@
 router::router(router_options options)
     : options_(std::move(options)),
       pool_(options_.executor),
+      answers_({.headers = options_.headers,
+                .metrics = options_.metrics,
+                .log = options_.log}),
       budget_(options_.budget),
       reachability_({.executor = options_.executor,
                      .random = options_.random,
@@ -182,14 +162,18 @@
                               call.request, options_.headers.request_id)),
                           .begun = steady::now()};
   if (!routes_) {
-    co_return Refuse(call, error_kind::kNotReady, "no configuration yet");
+    co_return answers_.Refuse(call.request, error_kind::kNotReady,
+                              "no configuration yet", 0);
   }
-  context.route = routes_->Find(HostOf(call.request), TargetOf(call.request));
+  context.route = routes_->Find(backend_servers::HostOf(call.request),
+                                TargetOf(call.request));
   if (context.route == nullptr) {
-    co_return Refuse(call, error_kind::kNoSuchRoute, "no route matches");
+    co_return answers_.Refuse(call.request, error_kind::kNoSuchRoute,
+                              "no route matches", Version());
   }
   if (context.route->targets.empty()) {
-    co_return Refuse(call, error_kind::kNotReady, "the route can't be read");
+    co_return answers_.Refuse(call.request, error_kind::kNotReady,
+                              "the route can't be read", Version());
   }
   context.service = target_selector_.Next(*context.route);
   const auto requested_timeout =
@@ -205,16 +189,33 @@
   context.objective = context.begun + context.route->objective - spent;
   context.is_nested_call = IsNestedCall(context.request_id);
   if (is_draining_ && !context.is_nested_call) {
-    co_return Refuse(call, error_kind::kDraining, "this proxy is ending");
+    co_return answers_.Refuse(call.request, error_kind::kDraining,
+                              "this proxy is ending", Version());
   }
   backend_servers::DropConnectionHeaders(call.request.base());
   call.request.erase(http::field::expect);
   call.request.prepare_payload();
   gate_outcome outcome = co_await RunWithRetries(context);
-  http_response answer = Answer(context, std::move(outcome));
+  http_response answer = answers_.Answer(ReportOf(context), std::move(outcome));
   co_return answer;
 }
 
+std::uint64_t router::Version() const {
+  return routes_ ? routes_->Configuration().version : 0;
+}
+
+request_report router::ReportOf(const request_context& context) {
+  return {.request_id = context.request_id,
+          .route = context.route,
+          .service = context.service,
+          .is_nested_call = context.is_nested_call,
+          .begun = context.begun,
+          .ran_on = &context.ran_on,
+          .refusals = context.refusals,
+          .least_wait = context.least_wait,
+          .version = context.routes->Configuration().version};
+}
+
 // The id of a backend server's nested call is the id of the request that it
 // runs for, followed by a dot and a suffix. That request must be running on
 // this instance now, so that callers can't pass off their requests as nested
@@ -438,6 +439,9 @@
   if (outcome.status) {
     reachability_.OnAnswer(to.data_centre);
     const gate_status& status = *outcome.status;
+    if (to.instance != options_.instance) {
+      options_.on_peer_holds(to, status.held);
+    }
     choice_.OnReport(to.instance, status.load, now);
     options_.rollout_states->OnStatus(context.service, context.route->name,
                                       status);
@@ -467,106 +471,4 @@
   return std::max<base::duration>(objective, kMinInitialTypicalTime);
 }
 
-http_response router::Answer(const request_context& context,
-                             gate_outcome outcome) {
-  http_response answer;
-  if (outcome.end == gate_outcome_kind::kAnswered) {
-    answer = std::move(outcome.answer);
-    backend_servers::DropConnectionHeaders(answer.base());
-    LogAnswer(context, outcome, answer.result_int());
-    return answer;
-  }
-  error_kind reason = outcome.reason;
-  if (outcome.end == gate_outcome_kind::kNotRun) {
-    // The request has certainly not run, so the caller may retry it, whatever
-    // the reason.
-    const bool is_late = reason == error_kind::kDeadlinePassed;
-    if (!is_late && reason != error_kind::kDraining) reason = error_kind::kShed;
-  } else if (reason != error_kind::kDeadlinePassed) {
-    reason = context.route->is_idempotent ? error_kind::kServerFailed
-                                          : error_kind::kOutcomeUnknown;
-  }
-  const auto run = outcome.end == gate_outcome_kind::kNotRun
-                       ? base::run_state::kNotRun
-                       : base::run_state::kUnknown;
-  answer = backend_servers::MakeRefusal(reason, outcome.detail, run);
-  answer.set(options_.headers.request_id, context.request_id);
-  if (outcome.end == gate_outcome_kind::kNotRun) {
-    answer.result(http::status::service_unavailable);
-    const base::duration hint =
-        context.least_wait.count() > 0 ? context.least_wait : outcome.wait;
-    const base::duration wait = std::clamp<base::duration>(
-        hint.count() > 0 ? hint : kNoServerRetryAfter, kMinRetryAfter,
-        kMaxRetryAfter);
-    SetRetryAfter(answer, wait);
-  } else {
-    answer.erase(http::field::retry_after);
-  }
-  LogAnswer(context, outcome, answer.result_int());
-  return answer;
-}
-
-http_response router::Refuse(const served_call& call, error_kind reason,
-                             std::string_view detail) {
-  http_response answer = backend_servers::MakeRefusal(reason, detail);
-  const std::string_view id =
-      HeaderOf(call.request, options_.headers.request_id);
-  answer.set(options_.headers.request_id, backend_servers::ToBeast(id));
-  if (reason == error_kind::kNotReady) {
-    SetRetryAfter(answer, kNoServerRetryAfter);
-  } else if (reason == error_kind::kDraining) {
-    SetRetryAfter(answer, kMinRetryAfter);
-  }
-  options_.log->Write(
-      event_priority::kFailure, "refused",
-      {{"id", std::string(id)},
-       {"host", HostOf(call.request)},
-       {"reason", std::string(base::ErrorInfoFor(reason).name)},
-       {"version",
-        routes_ ? std::to_string(routes_->Configuration().version) : ""}});
-  options_.metrics
-      ->Counter(
-          "fireflyspar_requests_total",
-          "outcome=\"" + std::string(base::ErrorInfoFor(reason).name) + "\"")
-      .fetch_add(1, std::memory_order_relaxed);
-  return answer;
-}
-
-void router::LogAnswer(const request_context& context,
-                       const gate_outcome& outcome, unsigned status) {
-  const auto took =
-      std::chrono::duration_cast<base::duration>(steady::now() - context.begun);
-  const bool is_good = outcome.end == gate_outcome_kind::kAnswered &&
-                       status < kFirstServerErrorStatus;
-  const std::string_view result = outcome.end == gate_outcome_kind::kAnswered
-                                      ? std::string_view("answered")
-                                      : base::ErrorInfoFor(outcome.reason).name;
-  options_.metrics
-      ->Counter("fireflyspar_requests_total",
-                "outcome=\"" + std::string(result) + "\"")
-      .fetch_add(1, std::memory_order_relaxed);
-  options_.metrics->Histogram("fireflyspar_request_seconds").Record(took);
-  std::string instances;
-  for (const std::string& each : context.ran_on) {
-    if (!instances.empty()) instances.push_back(',');
-    instances.append(each);
-  }
-  const auto priority =
-      is_good ? event_priority::kSuccess : event_priority::kFailure;
-  if (!options_.log->ShouldWrite(priority)) return;
-  options_.log->Write(
-      priority, "request",
-      {{"id", context.request_id},
-       {"route", context.route->name},
-       {"service", context.service},
-       {"is_call", context.is_nested_call ? "1" : "0"},
-       {"outcome", std::string(result)},
-       {"status", std::to_string(status)},
-       {"detail", outcome.detail},
-       {"ran_on", instances},
-       {"refusals", std::to_string(context.refusals)},
-       {"took_us", std::to_string(took.count())},
-       {"version", std::to_string(context.routes->Configuration().version)}});
-}
-
 }  // namespace fireflyspar::proxy
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -22,6 +22,7 @@
 #include "decisions/route_index.h"
 #include "decisions/server_directory.h"
 #include "decisions/shared_retry_budget.h"
+#include "proxy/caller_answers.h"
 #include "proxy/gate.h"
 #include "proxy/gate_reachability.h"
 #include "proxy/header_names.h"
@@ -44,6 +45,10 @@
   decisions::shared_retry_budget_options budget;
   // Returns the service of the backend server on this instance.
   std::function<std::string()> own_service;
+  // Called with what another process holds of the shared objects.
+  std::function<void(const decisions::server_entry& peer,
+                     const shared_revisions& held)>
+      on_peer_holds = [](const auto&, const auto&) {};
 };
 
 class router {
@@ -68,6 +73,11 @@
   // Must be called when the set of servers changed.
   void OnDirectoryChange();
 
+  // Returns whether the last attempt to reach the instance's gate failed.
+  bool IsUnreachable(std::string_view instance) const {
+    return reachability_.IsUnreachable(instance);
+  }
+
  private:
   // A request in progress.
   struct request_context {
@@ -116,18 +126,15 @@
                      const decisions::server_entry& to,
                      const gate_outcome& outcome);
   base::duration TypicalDuration(const request_context& context) const;
-  backend_servers::http_response Answer(const request_context& context,
-                                        gate_outcome outcome);
-  backend_servers::http_response Refuse(const served_call& call,
-                                        base::error_kind reason,
-                                        std::string_view detail);
-  void LogAnswer(const request_context& context, const gate_outcome& outcome,
-                 unsigned status);
+  // Returns the version in force; 0 if there is none.
+  std::uint64_t Version() const;
+  static request_report ReportOf(const request_context& context);
 
   router_options options_;
   bool is_draining_ = false;
   backend_servers::connection_pool pool_;
   std::shared_ptr<const decisions::route_index> routes_;
+  caller_answers answers_;
   decisions::weighted_target_selector target_selector_;
   decisions::gate_choice choice_;
   decisions::shared_retry_budget budget_;
--- a/src/proxy/store_watchdog.cc
+++ b/src/proxy/store_watchdog.cc
@@ -18,7 +18,7 @@
   for (;;) {
     const bool is_healthy = consecutive_failures_ == 0;
     const auto interval =
-        is_healthy ? options_.interval : options_.retry_interval;
+        is_healthy ? options_.interval() : options_.retry_interval;
     const auto timeout = is_healthy ? options_.timeout : options_.retry_timeout;
     // Waits for 0.5 to 1.5 intervals at random, so that processes that started
     // together don't probe at the same time.
--- a/src/proxy/store_watchdog.h
+++ b/src/proxy/store_watchdog.h
@@ -19,9 +19,11 @@
   const object_store* store = nullptr;
   base::event_log* log = nullptr;
   base::random_hook random;
-  // Mean wait before a probe and the probe's timeout, used unless the last
-  // probe failed.
-  std::chrono::milliseconds interval{1000};
+  // Returns the mean wait before a probe, and the probe's timeout; used unless
+  // the last probe failed.
+  std::function<std::chrono::milliseconds()> interval = [] {
+    return std::chrono::milliseconds(1000);
+  };
   std::chrono::milliseconds timeout{1000};
   // Mean wait before a probe and the probe's timeout, used if the last probe
   // failed.
--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -57,7 +57,7 @@
   for (const char* name : {"a", "b", "c", "d", "e"}) {
     fixture.store.Put(kKind, name, {{"n", name}});
   }
-  const auto listed = fixture.Wait(fixture.hooks.list(kKind));
+  const auto listed = fixture.Wait(fixture.hooks.list(kKind, false));
   REQUIRE(listed);
   CHECK(listed->objects.size() == 5);
   CHECK(listed->objects.back().name == "e");
@@ -66,7 +66,7 @@
 
 TEST_CASE("a kind without objects is an empty list") {
   client_fixture fixture;
-  const auto listed = fixture.Wait(fixture.hooks.list(kKind));
+  const auto listed = fixture.Wait(fixture.hooks.list(kKind, false));
   REQUIRE(listed);
   CHECK(listed->objects.empty());
   CHECK(listed->revision.number > 0);
@@ -169,7 +169,7 @@
 
 TEST_CASE("a missing object is reported as not found") {
   client_fixture fixture;
-  const auto found = fixture.Wait(fixture.hooks.get(kKind, "a"));
+  const auto found = fixture.Wait(fixture.hooks.get(kKind, "a", false));
   REQUIRE_FALSE(found);
   CHECK(found.Failure().Kind() == error_kind::kNotFound);
 }
@@ -177,11 +177,11 @@
 TEST_CASE("a rate-limited store and an unavailable one give different errors") {
   client_fixture fixture;
   fixture.store.Refuse(429, 1);
-  const auto over = fixture.Wait(fixture.hooks.list(kKind));
+  const auto over = fixture.Wait(fixture.hooks.list(kKind, false));
   REQUIRE_FALSE(over);
   CHECK(over.Failure().Kind() == error_kind::kPlatformOverRate);
   fixture.store.Refuse(503, 1);
-  const auto away = fixture.Wait(fixture.hooks.list(kKind));
+  const auto away = fixture.Wait(fixture.hooks.list(kKind, false));
   REQUIRE_FALSE(away);
   CHECK(away.Failure().Kind() == error_kind::kPlatformUnavailable);
 }
@@ -202,10 +202,10 @@
 TEST_CASE("a restore of the store is noticed once") {
   client_fixture fixture;
   fixture.store.SaveCopy();
-  fixture.Wait(fixture.hooks.list(kKind));
+  fixture.Wait(fixture.hooks.list(kKind, false));
   CHECK(fixture.restores == 0);
   fixture.store.RestoreCopy();
-  fixture.Wait(fixture.hooks.list(kKind));
+  fixture.Wait(fixture.hooks.list(kKind, false));
   fixture.Wait(fixture.hooks.probe(milliseconds(1000)));
   CHECK(fixture.restores == 1);
 }
@@ -215,11 +215,11 @@
   fixture.store.Put(kKind, "a", {{"n", 1}});
   fixture.store.SaveCopy();
   fixture.store.Put(kKind, "a", {{"n", 2}});
-  auto lost = *fixture.Wait(fixture.hooks.get(kKind, "a"));
+  auto lost = *fixture.Wait(fixture.hooks.get(kKind, "a", false));
   fixture.store.RestoreCopy();
   const std::uint64_t again = fixture.store.Put(kKind, "a", {{"n", 3}});
   REQUIRE(again == lost.revision.number);
-  fixture.Wait(fixture.hooks.list(kKind));
+  fixture.Wait(fixture.hooks.list(kKind, false));
   lost.content = {{"n", 4}};
   lost.status = {{"n", 4}};
   for (const auto& hook :
@@ -239,7 +239,7 @@
   fixture.store.Put(kKind, "a", {{"n", 1}});
   fixture.store.SaveCopy();
   fixture.store.Put(kKind, "a", {{"n", 2}});
-  const auto listed = fixture.Wait(fixture.hooks.list(kKind));
+  const auto listed = fixture.Wait(fixture.hooks.list(kKind, false));
   fixture.store.RestoreCopy();
   fixture.store.Put(kKind, "a", {{"n", 3}});
   backend_servers::cancellation never;
--- a/tests/adapter/restore_drill_test.cc
+++ b/tests/adapter/store_follower_test.cc
@@ -2,13 +2,14 @@
 // seconds old. These tests run the parts of a proxy that talk to the store over
 // sockets, against a store that does this, and check that nothing that was told
 // is taken back and that everything is written again.
+#include "app/store_follower.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 
-#include "app/store_follower.h"
 #include "fake_store.h"
 #include "platform/names.h"
 #include "platform/proxy_command.h"
@@ -250,7 +251,8 @@
   REQUIRE(f.RunUntil([&] { return f.RolloutState() == "running"; }));
   for (int drill = 0; drill < 3; ++drill) {
     f.store.SaveCopy();
-    for (std::uint64_t i = 0; i <= random() % 3; ++i) {
+    const std::uint64_t changes = 1 + random() % 3;
+    for (std::uint64_t i = 0; i < changes; ++i) {
       f.store.Put(kConfigurationKind, kConfigurationName,
                   Configuration(++version));
       f.RunFor(milliseconds(random() % 200));
--- a/tests/adapter/unknown_values_test.cc
+++ b/tests/adapter/unknown_values_test.cc
@@ -60,7 +60,7 @@
 void MutateMember(json& object) {
   const auto index = *rc::gen::inRange<std::size_t>(0, object.size());
   const std::string key =
-      std::next(object.begin(), static_cast<long>(index)).key();
+      std::next(object.begin(), static_cast<std::ptrdiff_t>(index)).key();
   if (*rc::gen::arbitrary<bool>()) {
     object.erase(key);
   } else {
--- a/tests/proxy/object_watcher_test.cc
+++ b/tests/proxy/object_watcher_test.cc
@@ -19,14 +19,16 @@
 // beyond these wait for an hour.
 struct scripted_store {
   scripted_store()
-      : hooks({.list = [this](const std::string&) { return List(); },
+      : hooks({.list = [this](const std::string&, bool) { return List(); },
                .watch =
                    [this](const std::string&, base::store_revision revision,
-                          milliseconds, bool, backend_servers::cancellation&) {
-                     return Watch(revision.number);
+                          milliseconds, bool allow_stale,
+                          backend_servers::cancellation& cancel) {
+                     late_watches += allow_stale ? 1 : 0;
+                     return Watch(revision.number, cancel);
                    },
-               .get = [this](const std::string&,
-                             const std::string&) { return Get(); }}) {}
+               .get = [this](const std::string&, const std::string&,
+                             bool) { return Get(); }}) {}
 
   async_result<object_list> List() {
     ++lists;
@@ -34,13 +36,17 @@
     co_return listed;
   }
 
-  async_result<object_changes> Watch(std::uint64_t from) {
+  async_result<object_changes> Watch(std::uint64_t from,
+                                     backend_servers::cancellation& cancel) {
     watched.push_back(from);
     if (watch_results.empty()) {
       net::steady_timer silent(loop, std::chrono::hours(1));
+      cancel.OnCancel([&silent] { silent.cancel(); });
       boost::system::error_code ignored;
       co_await silent.async_wait(
           net::redirect_error(net::use_awaitable, ignored));
+      cancel.OnCancel(nullptr);
+      co_return object_changes{.revision = {from}};
     }
     base::result<object_changes> result = watch_results.front();
     watch_results.pop_front();
@@ -71,6 +77,8 @@
   int lists = 0;
   int gets = 0;
   std::vector<std::uint64_t> watched;
+  bool may_be_late = false;
+  int late_watches = 0;
   std::vector<std::string> seen;
   base::event_log log{
       {.write = [](std::string_view bytes) { return bytes.size(); },
@@ -80,11 +88,12 @@
                           .store = &hooks,
                           .log = &log,
                           .random = base::SeededRandom(1),
-                          .coalesce_delay = milliseconds(1),
+                          .coalesce_delay = [] { return milliseconds(1); },
+                          .may_watch_late = [this] { return may_be_late; },
                           .latest_only_object = "main",
                           .on_list =
-                              [this](std::span<const stored_object> all) {
-                                for (const auto& each : all) {
+                              [this](const object_list& listed) {
+                                for (const auto& each : listed.objects) {
                                   seen.push_back(each.name);
                                 }
                               },
@@ -158,5 +167,18 @@
   CHECK(store.lists == 2);
 }
 
+TEST_CASE("a watch that begins anew continues from the same revision") {
+  scripted_store store;
+  store.watch_results.emplace_back(
+      object_changes{.changes = {{.object = {.name = "a"}}}, .revision = {7}});
+  store.RunWatcher(milliseconds(50));
+  store.may_be_late = true;
+  store.watcher.Rewatch();
+  store.loop.run_for(milliseconds(50));
+  CHECK(store.watched == std::vector<std::uint64_t>{1, 7, 7});
+  CHECK(store.late_watches == 1);
+  CHECK(store.lists == 1);
+}
+
 }  // namespace
 }  // namespace fireflyspar::proxy
