--- a/src/proxy/gate_messages.cc
+++ b/src/proxy/gate_messages.cc
@@ -51,8 +51,9 @@
     }
     const std::string_view digits = word.substr(at + 1, kHexDigits);
     unsigned byte = 0;
-    const char* const end = digits.data() + digits.size();
-    const auto parsed = std::from_chars(digits.data(), end, byte, kHexBase);
+    const char* const begin = digits.data();
+    const char* const end = begin + digits.size();
+    const auto parsed = std::from_chars(begin, end, byte, kHexBase);
     const bool is_whole = digits.size() == kHexDigits &&
                           parsed.ec == std::errc() && parsed.ptr == end;
     if (!is_whole) return std::nullopt;
--- a/tests/adapter/unknown_values_test.cc
+++ b/tests/adapter/unknown_values_test.cc
@@ -126,7 +126,9 @@
     json document = Configuration();
     MutateMember(document);
     const auto decoded = DecodeConfiguration(OnWire(document));
-    if (!decoded) RC_ASSERT(!decoded.Failure().detail.empty());
+    if (!decoded) {
+      RC_ASSERT(!decoded.Failure().detail.empty());
+    }
   });
 }
 
@@ -140,9 +142,10 @@
     const std::string part = *rc::gen::element<std::string>("info", "status");
     MutateMember(*rc::gen::arbitrary<bool>() ? document : document[part]);
     const auto decoded = DecodeHeartbeat("i-1", EncodeBody(document));
-    if (decoded)
+    if (decoded) {
       RC_ASSERT(!decoded->server.service.empty() ||
                 document["info"]["service"] == "");
+    }
     proxy::stored_object object{.name = "stock"};
     object.content = {
         {"service", "stock"}, {"target_version", "v2"}, {"period", "12s"}};
@@ -151,7 +154,9 @@
     object.content = OnWire(object.content);
     object.status = OnWire(object.status);
     const auto rollout = DecodeRollout(object);
-    if (!rollout) RC_ASSERT(!rollout.Failure().detail.empty());
+    if (!rollout) {
+      RC_ASSERT(!rollout.Failure().detail.empty());
+    }
   });
 }
 
--- a/tests/decisions/store_readers_test.cc
+++ b/tests/decisions/store_readers_test.cc
@@ -14,6 +14,7 @@
 
 std::vector<std::string> Fleet(int size) {
   std::vector<std::string> instances;
+  instances.reserve(static_cast<std::size_t>(size));
   for (int i = 0; i < size; ++i) {
     instances.push_back("instance-" + std::to_string(i));
   }
