Answer by the end of the process; list at once when the history is gone

Cause: sidecar-quito-norte-2 got SIGTERM at 25.862 s and took an upload at 27.930 s, which waited at another gate for its link until the process ended at 31.271 s (stopped cut_off=2). Change: a request that arrives after SIGTERM has time until 0.3 s before the end, so that gates refuse what can't be done by then. Calls to the store. Cause, by reading: a late list may return a revision older than the dropped history; the watch from it fails at once, and the next list is late again: a loop. Change: such a list is not late. New tests for both; they were run with the change only.

--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -45,6 +45,10 @@
 // aborted.
 constexpr milliseconds kShutdownMargin{600};
 
+// Requests that arrive after SIGTERM have their answers this long before the
+// requests that are left are aborted.
+constexpr milliseconds kLastAnswerMargin{300};
+
 constexpr milliseconds kDeadPeerTimeout{1500};
 
 // The share of the process's memory for bodies is one divided by this.
@@ -419,6 +423,7 @@
       shutdown_start + settings_.shutdown_limit - kShutdownMargin;
   log_.Write(event_priority::kStateChange, "stopping", {});
   caller_listener_->DisableKeepAlive();
+  router_.AnswerBy(limit - kLastAnswerMargin);
   const auto& server = gate_.Server();
   const bool should_withdraw =
       !server || server->condition == decisions::server_condition::kDraining;
--- a/src/proxy/object_watcher.cc
+++ b/src/proxy/object_watcher.cc
@@ -59,8 +59,10 @@
 }
 
 net::awaitable<bool> object_watcher::List() {
-  const auto listed =
-      co_await options_.store->list(options_.kind, options_.may_list_late());
+  // A late list may return a revision whose history is gone, again and again.
+  const bool may_be_late =
+      options_.may_list_late() && !std::exchange(is_history_gone_, false);
+  const auto listed = co_await options_.store->list(options_.kind, may_be_late);
   if (!listed) {
     const base::duration pause = RetryPause(listed.Failure());
     co_await Pause(pause);
@@ -83,7 +85,8 @@
   if (!watched) {
     // A watch that failed may have missed changes, and another watch from the
     // same revision may never report them.
-    if (watched.Failure().Kind() != error_kind::kHistoryGone) {
+    is_history_gone_ = watched.Failure().Kind() == error_kind::kHistoryGone;
+    if (!is_history_gone_) {
       const base::duration pause = RetryPause(watched.Failure());
       co_await Pause(pause);
     }
--- a/src/proxy/object_watcher.h
+++ b/src/proxy/object_watcher.h
@@ -72,6 +72,7 @@
   base::store_revision revision_;
   bool is_suspended_ = false;
   bool is_rewatching_ = false;
+  bool is_history_gone_ = false;  // Since the revision listed or watched last.
   int consecutive_failures_ = 0;
 };
 
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -181,7 +181,8 @@
   const milliseconds allowed =
       requested_timeout ? std::min(*requested_timeout, context.route->timeout)
                         : context.route->timeout;
-  context.deadline = context.begun + allowed;
+  context.deadline =
+      std::min<base::steady_instant>(context.begun + allowed, end_);
   const base::duration spent =
       requested_timeout ? caller_timeouts_.EstimateElapsed(context.route->name,
                                                            *requested_timeout)
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -66,6 +66,10 @@
 
   net::awaitable<backend_servers::http_response> Route(served_call& call);
 
+  // Must be called when the process begins to end: a request that arrives from
+  // now on gets its answer by `end`, so that none is cut off.
+  void AnswerBy(base::steady_instant end) { end_ = end; }
+
   // Refuses callers' requests from now on. The backend server on this instance
   // can still make nested calls for the requests that it is running.
   void StartDraining() { is_draining_ = true; }
@@ -132,6 +136,7 @@
 
   router_options options_;
   bool is_draining_ = false;
+  base::steady_instant end_ = base::steady_instant::max();
   backend_servers::connection_pool pool_;
   std::shared_ptr<const decisions::route_index> routes_;
   caller_answers answers_;
--- a/tests/proxy/object_watcher_test.cc
+++ b/tests/proxy/object_watcher_test.cc
@@ -19,7 +19,11 @@
 // beyond these wait for an hour.
 struct scripted_store {
   scripted_store()
-      : hooks({.list = [this](const std::string&, bool) { return List(); },
+      : hooks({.list =
+                   [this](const std::string&, bool allow_stale) {
+                     late_lists += allow_stale ? 1 : 0;
+                     return List();
+                   },
                .watch =
                    [this](const std::string&, base::store_revision revision,
                           milliseconds, bool allow_stale,
@@ -79,6 +83,7 @@
   std::vector<std::uint64_t> watched;
   bool may_be_late = false;
   int late_watches = 0;
+  int late_lists = 0;
   std::vector<std::string> seen;
   base::event_log log{
       {.write = [](std::string_view bytes) { return bytes.size(); },
@@ -89,6 +94,7 @@
                           .log = &log,
                           .random = base::SeededRandom(1),
                           .coalesce_delay = [] { return milliseconds(1); },
+                          .may_list_late = [this] { return may_be_late; },
                           .may_watch_late = [this] { return may_be_late; },
                           .latest_only_object = "main",
                           .on_list =
@@ -180,5 +186,17 @@
   CHECK(store.lists == 1);
 }
 
+// Guards against a loop of calls: the store has dropped its history, and a late
+// list returns a revision from before that each time.
+TEST_CASE("after the history is gone the objects are not listed late") {
+  scripted_store store;
+  store.may_be_late = true;
+  store.watch_results.emplace_back(
+      base::Fail(base::error_kind::kHistoryGone, "410"));
+  store.RunWatcher(milliseconds(100));
+  CHECK(store.lists == 2);
+  CHECK(store.late_lists == 1);
+}
+
 }  // namespace
 }  // namespace fireflyspar::proxy
--- /dev/null
+++ b/tests/proxy/router_test.cc
@@ -0,0 +1,144 @@
+#include "proxy/router.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <string>
+
+namespace fireflyspar::proxy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+namespace http = backend_servers::http;
+
+constexpr char kDeadlineHeader[] = "Deadline-Ms";
+constexpr milliseconds kRouteTimeout{5000};
+
+base::address FreeAddress(net::io_context& loop) {
+  const net::ip::tcp::acceptor probe(loop,
+                                     {net::ip::address_v4::loopback(), 0});
+  return {.ip = "127.0.0.1", .port = probe.local_endpoint().port()};
+}
+
+// A router whose only gate and backend server are on its own instance. The
+// server notes the deadline that it is given.
+struct router_fixture {
+  router_fixture() {
+    REQUIRE(server.Start());
+    const decisions::server_info info{.id = "i-1",
+                                      .service = "stock",
+                                      .version = "v1",
+                                      .slots = 2,
+                                      .start_ms = 1};
+    directory.Put({.instance = "n1", .data_centre = "here", .server = info});
+    local_gate.OnHeartbeat({.server = info, .address = address, .sequence = 1});
+    config::mesh_configuration known{.version = 1};
+    known.services = {{.name = "stock"}};
+    known.routes = {{.name = "r-1",
+                     .host = "a.example",
+                     .path_prefix = "/p/",
+                     .timeout = kRouteTimeout,
+                     .objective = kRouteTimeout,
+                     .targets = {{.service = "stock"}}}};
+    tested.SetConfiguration(
+        std::make_shared<const config::mesh_configuration>(known));
+  }
+
+  net::awaitable<backend_servers::http_response> Serve(served_call& call) {
+    given_ms = std::atoi(
+        std::string(backend_servers::HeaderOf(call.request, kDeadlineHeader))
+            .c_str());
+    backend_servers::http_response answer(http::status::ok, 11);
+    answer.prepare_payload();
+    co_return answer;
+  }
+
+  // Sends one request through the router; returns the status of its answer.
+  unsigned Send() {
+    unsigned status = 0;
+    served_call call;
+    call.cancel = std::make_shared<backend_servers::cancellation>();
+    call.request = {http::verb::get, "/p/x", 11};
+    call.request.set(http::field::host, "a.example");
+    net::co_spawn(
+        loop,
+        [&]() -> net::awaitable<void> {
+          const auto answer = co_await tested.Route(call);
+          status = answer.result_int();
+        },
+        net::detached);
+    loop.restart();
+    while (status == 0) loop.run_one();
+    return status;
+  }
+
+  net::io_context loop;
+  base::address address = FreeAddress(loop);
+  int given_ms = -1;
+  header_names headers{.request_id = "Request-Id",
+                       .deadline_ms = kDeadlineHeader,
+                       .caller_service = "Caller-Service",
+                       .expected_server = "Expect-Instance",
+                       .not_run = "Not-Executed"};
+  base::metrics metrics;
+  base::event_log log{
+      {.write = [](std::string_view bytes) { return bytes.size(); },
+       .clock = base::SystemClock()}};
+  listener server{loop.get_executor(),
+                  {.address = address, .handler = [this](served_call& call) {
+                     return Serve(call);
+                   }}};
+  gate local_gate{{.executor = loop.get_executor(),
+                   .headers = headers,
+                   .clock = base::SystemClock(),
+                   .metrics = &metrics,
+                   .log = &log,
+                   .on_change = [](const auto&) {}}};
+  decisions::server_directory directory;
+  rollouts rollout_states{{.random = base::SeededRandom(1),
+                           .log = &log,
+                           .directory = &directory,
+                           .write_state = [](const auto&) {}}};
+  router tested{{.executor = loop.get_executor(),
+                 .instance = "n1",
+                 .data_centre = "here",
+                 .headers = headers,
+                 .metrics = &metrics,
+                 .log = &log,
+                 .random = base::SeededRandom(1),
+                 .local_gate = &local_gate,
+                 .directory = &directory,
+                 .rollout_states = &rollout_states,
+                 .own_service = [] { return std::string("stock"); }}};
+};
+
+TEST_CASE("a request has the time of its route") {
+  router_fixture fixture;
+  CHECK(fixture.Send() == 200);
+  CHECK(fixture.given_ms > 1000);
+  CHECK(fixture.given_ms <= kRouteTimeout.count());
+}
+
+// Guards against requests that are cut off: a process that was told to end took
+// an upload that waited for another instance's link until after the end.
+TEST_CASE("a request that arrives while the process ends has time until then") {
+  router_fixture fixture;
+  fixture.tested.AnswerBy(std::chrono::steady_clock::now() + seconds(1));
+  CHECK(fixture.Send() == 200);
+  CHECK(fixture.given_ms <= 1000);
+}
+
+TEST_CASE("a request that arrives after that time is refused as not run") {
+  router_fixture fixture;
+  fixture.tested.AnswerBy(std::chrono::steady_clock::now());
+  CHECK(fixture.Send() == 503);
+  CHECK(fixture.given_ms == -1);
+}
+
+}  // namespace
+}  // namespace fireflyspar::proxy
