Show what a server says of itself and what it gets

Cause: neither logs nor metrics could tell whether a named limit is not read, is bypassed by some origins, or is lost. Nothing is decided by the new values yet. - decisions/server_notices holds what a server says in its answers; the gate logs each change (server_notices) and once a second what the server got under a limit (server_limit_use). - fireflyspar_server_requests_total counts what is handed to the server, by origin and by whether a running server made the call; a gauge shows the limit.

--- a/src/decisions/server_directory.h
+++ b/src/decisions/server_directory.h
@@ -31,6 +31,12 @@
   bool operator==(const server_info&) const = default;
 };
 
+// Returns whether both are the same start of the same server. What is known of
+// one start does not apply to another, even under the same id.
+inline bool IsSameStart(const server_info& left, const server_info& right) {
+  return left.id == right.id && left.start_ms == right.start_ms;
+}
+
 // A backend server and how to reach the gate in front of it.
 struct server_entry {
   std::string instance;
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "backend_servers/exchange.h"
+#include "proxy/notice_headers.h"
 
 namespace fireflyspar::proxy {
 namespace {
@@ -35,6 +36,9 @@
 
 constexpr milliseconds kConnectTimeout{1000};
 
+// How often the use of a server's limit is logged.
+constexpr milliseconds kLimitLogInterval{1000};
+
 // A request that may not be retried reuses only a connection that was in use
 // this recently. On a connection that the server has just closed for idleness,
 // the request's outcome would be unknown.
@@ -44,6 +48,18 @@
   return std::chrono::duration_cast<base::duration>(steady::now() - begun);
 }
 
+// The part of a value that can't be read that is logged.
+constexpr std::size_t kMaxLoggedValueBytes = 40;
+
+std::int64_t ToThousandths(std::optional<double> limit) {
+  constexpr double kThousand = 1000;
+  return static_cast<std::int64_t>(limit.value_or(0) * kThousand);
+}
+
+std::string ToText(std::optional<double> limit) {
+  return limit ? std::to_string(*limit) : "none";
+}
+
 // Returns the result for a request that left the queue without a decision.
 admission_result Abandoned(const backend_servers::cancellation& cancel) {
   return {.choice = admission_choice::kRefuse,
@@ -75,14 +91,15 @@
 
 bool gate::OnHeartbeat(const server_heartbeat& heartbeat) {
   if (server_ && heartbeat.server.start_ms < server_->start_ms) return false;
-  const bool is_same_start = server_ && heartbeat.server.id == server_->id &&
-                             heartbeat.server.start_ms == server_->start_ms;
+  const bool is_same_start =
+      server_ && decisions::IsSameStart(heartbeat.server, *server_);
   if (is_same_start && heartbeat.sequence <= sequence_) return false;
   const auto now = steady::now();
   if (!is_same_start) {
     is_leaving_ = HasLeftBefore(heartbeat.server);
     is_misaddressed_ = false;
     measurements_.Restart(heartbeat.cold_left);
+    notices_.Restart();
     pool_.CloseIdle(address_);
   }
   sequence_ = heartbeat.sequence;
@@ -160,6 +177,7 @@
     options_.on_change(server_);
     UpdateAdmission();
   }
+  LogLimitUse(steady::now());
   NotifyWaiters();
 }
 
@@ -174,6 +192,58 @@
   waiters_.Notify(transfers_.ProcessQueue(now));
 }
 
+void gate::OnNotices(const backend_servers::http_response& answer,
+                     base::steady_instant sent) {
+  const auto said = ReadNotices(answer, options_.headers);
+  if (!said) {
+    options_.metrics
+        ->Counter("fireflyspar_unreadable_values_total", "object=\"answer\"")
+        .fetch_add(1, std::memory_order_relaxed);
+    options_.log->Write(
+        event_priority::kFailure, "server_notice_unreadable",
+        {{"server", server_->id},
+         {"limit", std::string(HeaderOf(answer, options_.headers.request_limit))
+                       .substr(0, kMaxLoggedValueBytes)}});
+    return;
+  }
+  const decisions::server_notices before = notices_.Current();
+  notices_.OnAnswer(*said, sent, steady::now());
+  const decisions::server_notices& now = notices_.Current();
+  if (now == before) return;
+  options_.metrics->Gauge("fireflyspar_server_limit_per_1000_seconds")
+      .store(ToThousandths(now.requests_per_second));
+  options_.log->Write(event_priority::kStateChange, "server_notices",
+                      {{"server", server_->id},
+                       {"limit_per_second", ToText(now.requests_per_second)},
+                       {"before", ToText(before.requests_per_second)},
+                       {"is_leaving", now.is_leaving ? "1" : "0"}});
+}
+
+void gate::CountSent(const call_offer& offer) {
+  ++sent_since_limit_log_;
+  options_.metrics
+      ->Counter("fireflyspar_server_requests_total",
+                std::string("origin=\"") +
+                    (offer.is_local ? "own_instance" : "other_instance") +
+                    "\",nested=\"" + (offer.is_nested_call ? "1" : "0") + "\"")
+      .fetch_add(1, std::memory_order_relaxed);
+}
+
+void gate::LogLimitUse(base::steady_instant now) {
+  if (now - limit_logged_at_ < kLimitLogInterval) return;
+  const auto limit = notices_.Current().requests_per_second;
+  if (server_ && limit) {
+    options_.log->Write(event_priority::kStateChange, "server_limit_use",
+                        {{"server", server_->id},
+                         {"limit_per_second", ToText(limit)},
+                         {"sent", std::to_string(sent_since_limit_log_)},
+                         {"running", std::to_string(admission_.Running())},
+                         {"waiting", std::to_string(admission_.Waiting())}});
+  }
+  limit_logged_at_ = now;
+  sent_since_limit_log_ = 0;
+}
+
 net::awaitable<admission_result> gate::WaitForSlot(
     const admission_request& pending, backend_servers::cancellation& cancel) {
   const admission_result entered = admission_.Enter(pending, steady::now());
@@ -338,6 +408,7 @@
   if (left.count() <= 0) {
     co_return NotRun(error_kind::kDeadlinePassed, "no time is left");
   }
+  const decisions::server_info asked = *server_;
   const header_names& names = options_.headers;
   request.set(names.deadline_ms, std::to_string(left.count()));
   request.set(names.expected_server, server_->id);
@@ -350,6 +421,8 @@
   if (!offer.is_idempotent) options.max_idle = kMaxIdleForUnsafe;
   options.correlation_header = names.request_id;
   options.accepts_close_delimited = true;
+  CountSent(offer);
+  const auto sent = steady::now();
   exchange_result ended =
       co_await backend_servers::Exchange(pool_, options, request, cancel);
   switch (ended.end) {
@@ -377,6 +450,9 @@
     misdirected.refused_by_server = true;
     co_return misdirected;
   }
+  if (server_ && decisions::IsSameStart(*server_, asked)) {
+    OnNotices(ended.answer, sent);
+  }
   if (!HeaderOf(ended.answer, names.not_run).empty()) {
     gate_outcome refused = NotRun(error_kind::kShed, "the server refused it");
     refused.wait = offer.typical_duration;
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -22,6 +22,7 @@
 #include "base/metrics.h"
 #include "decisions/ranked_admission.h"
 #include "decisions/server_directory.h"
+#include "decisions/server_notices.h"
 #include "decisions/transfer_queue.h"
 #include "proxy/gate_messages.h"
 #include "proxy/header_names.h"
@@ -129,6 +130,15 @@
       const call_offer& offer, backend_servers::http_request& request,
       base::steady_instant deadline, backend_servers::cancellation& cancel);
   void NotifyWaiters();
+
+  // Takes in what the server says of itself in an answer to a request that was
+  // sent to it at `sent`.
+  void OnNotices(const backend_servers::http_response& answer,
+                 base::steady_instant sent);
+  // Counts a request that is handed to the server.
+  void CountSent(const call_offer& offer);
+  // Writes how many requests the server got while a limit was in force.
+  void LogLimitUse(base::steady_instant now);
   void LogOutcome(const call_offer& offer,
                   const backend_servers::http_request& request,
                   const gate_outcome& outcome, base::duration waited);
@@ -158,6 +168,9 @@
   bool is_closed_ = false;
   bool is_misaddressed_ = false;  // Another server responds at `address_`.
   server_measurements measurements_;
+  decisions::notice_tracker notices_;
+  int sent_since_limit_log_ = 0;
+  base::steady_instant limit_logged_at_;
 };
 
 }  // namespace fireflyspar::proxy
--- a/src/proxy/gate_messages.h
+++ b/src/proxy/gate_messages.h
@@ -39,6 +39,8 @@
   // How long a request on this route typically takes at a server.
   base::duration typical_duration{};
   std::uint64_t body_bytes = 0;  // Length of the request's body.
+  // Whether the router of the same process makes the offer; not transmitted.
+  bool is_local = false;
 
   bool operator==(const call_offer&) const = default;
 };
--- a/src/proxy/header_names.h
+++ b/src/proxy/header_names.h
@@ -22,6 +22,11 @@
   std::string expected_server = "fireflyspar-server";
   // In a backend server's responses: marks a request that was not run.
   std::string not_run = "fireflyspar-not-run";
+  // In a backend server's responses: the requests a second that it takes from
+  // all instances together, for as long as it says so.
+  std::string request_limit = "fireflyspar-request-limit";
+  // In a backend server's responses: marks a server that is leaving.
+  std::string is_leaving = "fireflyspar-leaving";
 };
 
 }  // namespace fireflyspar::proxy
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -374,13 +374,14 @@
                          .left = left(context.deadline),
                          .time_to_objective = left(context.objective),
                          .typical_duration = TypicalDuration(context),
-                         .body_bytes = context.call->request.body().size()};
+                         .body_bytes = context.call->request.body().size(),
+                         .is_local = entry.instance == options_.instance};
   choice_.OnSend(entry.instance, offer.body_bytes);
   gate_outcome outcome;
   {
     http_request request(context.call->request.base());
     const body_loan lent(context.call->request, request);
-    if (entry.instance == options_.instance) {
+    if (offer.is_local) {
       outcome = co_await options_.local_gate->Run(offer, request, nullptr,
                                                   *context.call->cancel);
     } else {
