Hold a server's limit at its gate

What callers saw: nothing at once; a server in need that named a limit got as many requests as before and stayed in need. Cause: nothing read the limit. The gate admitted by slots alone and passed the header on. Class: a quota that is learnt from an answer and enforced nowhere. Fix: only the gate can reach the server, so the gate spaces out what it admits (decisions/request_rate, inside ranked_admission): the sum over all instances, calls of running servers and second attempts included. The wait for a turn counts in the expected wait, so a request that can't get a turn in time is refused at once with the time until one.

--- a/src/decisions/ranked_admission.cc
+++ b/src/decisions/ranked_admission.cc
@@ -36,13 +36,25 @@
   closed_.reset();
 }
 
-base::duration ranked_admission::ExpectedWait(
-    const admission_request& request) const {
+std::optional<base::duration> ranked_admission::WaitForTurn(
+    base::steady_instant now) const {
+  const bool waits_for_turn =
+      !closed_ && !queue_.empty() && running_ < slots_ && rate_.IsLimited();
+  if (!waits_for_turn) return std::nullopt;
+  return rate_.WaitBehind(0, now);
+}
+
+base::duration ranked_admission::ExpectedWait(const admission_request& request,
+                                              base::steady_instant now) const {
   const auto ahead = std::distance(queue_.begin(), queue_.lower_bound(request));
   const base::duration each = typical_duration_.count() > 0
                                   ? typical_duration_
                                   : request.typical_duration;
-  const base::duration base_wait = each * (ahead + 1) / std::max(1, slots_);
+  const bool finds_slot = running_ + ahead < slots_;
+  const base::duration slot_wait =
+      finds_slot ? base::duration(0) : each * (ahead + 1) / std::max(1, slots_);
+  const base::duration base_wait =
+      std::max(slot_wait, rate_.WaitBehind(ahead, now));
   const auto inflation = wait_inflation_.find(UrgencyOf(request));
   if (inflation == wait_inflation_.end()) return base_wait;
   return base::duration(static_cast<std::int64_t>(
@@ -68,7 +80,7 @@
   admission_request waiting = request;
   waiting.entered = now;
   waiting.is_late = now + request.typical_duration > request.objective;
-  waiting.expected_wait = ExpectedWait(waiting);
+  waiting.expected_wait = ExpectedWait(waiting, now);
   return waiting;
 }
 
@@ -78,7 +90,7 @@
   if (now >= request.deadline) {
     return Refuse(base::error_kind::kDeadlinePassed, {});
   }
-  if (running_ < slots_ && queue_.empty()) {
+  if (CanStart(now) && queue_.empty()) {
     return {.choice = admission_choice::kRun};
   }
   const admission_request waiting = ToQueued(request, now);
@@ -93,7 +105,7 @@
 admission_result ranked_admission::Enter(const admission_request& request,
                                          base::steady_instant now) {
   const admission_result result = Evaluate(request, now);
-  if (result.choice == admission_choice::kRun) ++running_;
+  if (result.choice == admission_choice::kRun) Start(now);
   if (result.choice == admission_choice::kWait) {
     queue_.insert(ToQueued(request, now));
   }
@@ -129,9 +141,10 @@
       each = end(each, Refuse(*closed_, {}));
     } else if (cannot_finish) {
       UpdateWaitInflation(*each, now);
-      each = end(each, Refuse(base::error_kind::kShed, ExpectedWait(*each)));
-    } else if (running_ < slots_) {
-      ++running_;
+      each =
+          end(each, Refuse(base::error_kind::kShed, ExpectedWait(*each, now)));
+    } else if (CanStart(now)) {
+      Start(now);
       UpdateWaitInflation(*each, now);
       each = end(each, {.choice = admission_choice::kRun});
     } else {
--- a/src/decisions/ranked_admission.h
+++ b/src/decisions/ranked_admission.h
@@ -1,6 +1,7 @@
 // Decides which requests a gate admits to the backend server on its instance,
 // and in which order. It never runs more requests than the server has slots,
-// since some servers stop answering when they are full. The other requests are
+// since some servers stop answering when they are full, and no more requests a
+// second than the server takes, if it names a limit. The other requests are
 // queued. Nested calls, which a backend server makes for a request that it
 // runs, come first, since each of them occupies a slot elsewhere that would be
 // wasted. Then come requests that can still meet their objective, then those
@@ -20,6 +21,7 @@
 
 #include "base/error.h"
 #include "base/hooks.h"
+#include "decisions/request_rate.h"
 
 namespace fireflyspar::decisions {
 
@@ -64,6 +66,15 @@
 
   bool IsOpen() const { return !closed_; }
 
+  // Sets the requests a second that the server takes; nullopt: no limit.
+  void SetLimit(std::optional<double> per_second, base::steady_instant now) {
+    rate_.SetLimit(per_second, now);
+  }
+
+  // Returns how long the first request in the queue waits for its turn under
+  // the limit; nothing if it waits for something else.
+  std::optional<base::duration> WaitForTurn(base::steady_instant now) const;
+
   // Returns what Enter would do with the request, without doing it.
   admission_result Evaluate(const admission_request& request,
                             base::steady_instant now) const;
@@ -109,13 +120,22 @@
   // Returns the request with the fields that are set when it is queued.
   admission_request ToQueued(const admission_request& request,
                              base::steady_instant now) const;
-  base::duration ExpectedWait(const admission_request& request) const;
+  base::duration ExpectedWait(const admission_request& request,
+                              base::steady_instant now) const;
+  bool CanStart(base::steady_instant now) const {
+    return running_ < slots_ && rate_.HasTurn(now);
+  }
+  void Start(base::steady_instant now) {
+    ++running_;
+    rate_.Take(now);
+  }
   void UpdateWaitInflation(const admission_request& request,
                            base::steady_instant now);
 
   std::optional<base::error_kind> closed_ = base::error_kind::kNoServer;
   int slots_ = 0;
   int running_ = 0;
+  request_rate rate_;
   base::duration typical_duration_{};  // Smoothed time at the server.
   std::set<admission_request, by_urgency> queue_;
 
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -87,7 +87,8 @@
     : options_(std::move(options)),
       pool_(options_.executor),
       transfers_(options_.transfers),
-      waiters_(options_.executor) {}
+      waiters_(options_.executor),
+      turn_timer_(options_.executor) {}
 
 bool gate::OnHeartbeat(const server_heartbeat& heartbeat) {
   if (server_ && heartbeat.server.start_ms < server_->start_ms) return false;
@@ -100,6 +101,7 @@
     is_misaddressed_ = false;
     measurements_.Restart(heartbeat.cold_left);
     notices_.Restart();
+    admission_.SetLimit(std::nullopt, now);
     pool_.CloseIdle(address_);
   }
   sequence_ = heartbeat.sequence;
@@ -190,6 +192,16 @@
   const auto now = steady::now();
   waiters_.Notify(admission_.ProcessQueue(now));
   waiters_.Notify(transfers_.ProcessQueue(now));
+  ScheduleNextTurn(now);
+}
+
+void gate::ScheduleNextTurn(base::steady_instant now) {
+  const auto wait = admission_.WaitForTurn(now);
+  if (!wait) return;
+  turn_timer_.expires_after(*wait);
+  turn_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) NotifyWaiters();
+  });
 }
 
 void gate::OnNotices(const backend_servers::http_response& answer,
@@ -210,6 +222,7 @@
   notices_.OnAnswer(*said, sent, steady::now());
   const decisions::server_notices& now = notices_.Current();
   if (now == before) return;
+  admission_.SetLimit(now.requests_per_second, steady::now());
   options_.metrics->Gauge("fireflyspar_server_limit_per_1000_seconds")
       .store(ToThousandths(now.requests_per_second));
   options_.log->Write(event_priority::kStateChange, "server_notices",
@@ -248,6 +261,7 @@
     const admission_request& pending, backend_servers::cancellation& cancel) {
   const admission_result entered = admission_.Enter(pending, steady::now());
   if (entered.choice != admission_choice::kWait) co_return entered;
+  ScheduleNextTurn(steady::now());
   const auto decided =
       co_await waiters_.Wait(pending.ticket, pending.deadline, cancel);
   if (decided) co_return *decided;
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -129,7 +129,10 @@
   net::awaitable<gate_outcome> SendAndTrack(
       const call_offer& offer, backend_servers::http_request& request,
       base::steady_instant deadline, backend_servers::cancellation& cancel);
+  // Resumes the requests whose turn has come, and does so again when the next
+  // turn under the server's limit comes.
   void NotifyWaiters();
+  void ScheduleNextTurn(base::steady_instant now);
 
   // Takes in what the server says of itself in an answer to a request that was
   // sent to it at `sent`.
@@ -153,6 +156,7 @@
   decisions::ranked_admission admission_;  // To the server's slots.
   decisions::transfer_queue transfers_;    // Of large bodies over the link.
   turn_waiters waiters_;
+  net::steady_timer turn_timer_;
   std::multiset<std::string, std::less<>> running_;  // Request ids.
   std::uint64_t last_ticket_ = 0;
 
--- a/tests/decisions/ranked_admission_test.cc
+++ b/tests/decisions/ranked_admission_test.cc
@@ -231,5 +231,61 @@
   CHECK(Load(6, 50).on_time == 1000);
 }
 
+// Guards against LIMIT: slots alone decided what a server got.
+TEST_CASE("under a limit a request waits for its turn beside free slots") {
+  ranked_admission gate;
+  gate.Open(6);
+  gate.SetLimit(10, kStart);
+  const admission_result first = gate.Enter(Request({.ticket = 1}), kStart);
+  CHECK(first.choice == admission_choice::kWait);
+  CHECK(first.wait == milliseconds(100));
+  CHECK(gate.WaitForTurn(kStart) == milliseconds(100));
+  CHECK(gate.ProcessQueue(kStart + milliseconds(99)).empty());
+  const auto started = gate.ProcessQueue(kStart + milliseconds(100));
+  REQUIRE(started.size() == 1);
+  CHECK(started.front().result.choice == admission_choice::kRun);
+  CHECK_FALSE(gate.WaitForTurn(kStart + milliseconds(100)));
+}
+
+TEST_CASE("under a limit a refusal tells the wait for a turn") {
+  ranked_admission gate;
+  gate.Open(6);
+  gate.SetLimit(10, kStart);
+  for (unsigned ticket = 1; ticket <= 4; ++ticket) {
+    CHECK(gate.Enter(Request({.ticket = ticket}), kStart).choice ==
+          admission_choice::kWait);
+  }
+  // The fifth would start after 500 ms and take 100 ms; it has 500 ms.
+  const admission_result fifth = gate.Enter(Request({.ticket = 5}), kStart);
+  CHECK(fifth.choice == admission_choice::kRefuse);
+  CHECK(fifth.wait == milliseconds(500));
+}
+
+TEST_CASE("nested calls take the first turns under a limit") {
+  ranked_admission gate;
+  gate.Open(6);
+  gate.SetLimit(10, kStart);
+  gate.Enter(Request({.ticket = 1}), kStart);
+  gate.Enter(Request({.ticket = 2, .is_nested_call = true}), kStart);
+  const auto started = gate.ProcessQueue(kStart + milliseconds(100));
+  REQUIRE(started.size() == 1);
+  CHECK(started.front().ticket == 2);
+}
+
+TEST_CASE("a lifted limit lets the queue go") {
+  ranked_admission gate;
+  gate.Open(6);
+  gate.SetLimit(0.5, kStart);
+  for (unsigned ticket = 1; ticket <= 2; ++ticket) {
+    gate.Enter(Request({.ticket = ticket,
+                        .objective = seconds(9),
+                        .deadline = seconds(9)}),
+               kStart);
+  }
+  REQUIRE(gate.Waiting() == 2);
+  gate.SetLimit(std::nullopt, kStart);
+  CHECK(gate.ProcessQueue(kStart).size() == 2);
+}
+
 }  // namespace
 }  // namespace fireflyspar::decisions
