Choose gates by the limits that their servers name

A router took a limited gate for one with all slots free: it was refused there and lost an offer and the wait. The gate's report now carries the limit, and the limit counts like fewer slots (what it allows in the time of one request).

--- a/src/decisions/gate_choice.cc
+++ b/src/decisions/gate_choice.cc
@@ -18,16 +18,27 @@
 constexpr double kClosedCost = 1e9;
 constexpr double kUnreachableCost = 1e12;
 
+constexpr double kMicrosecondsPerSecond = 1e6;
+
 double Microseconds(base::duration span) {
   return static_cast<double>(span.count());
 }
 
+// Returns how many requests a server with this many slots runs at once at most.
+// Under a limit on requests a second it is what the limit allows in the time of
+// one request, `time` in microseconds.
+double UsableSlots(int slots, const gate_report& report, double time) {
+  const double all = std::max(1, slots);
+  if (report.requests_per_second <= 0) return all;
+  return std::min(all,
+                  report.requests_per_second * time / kMicrosecondsPerSecond);
+}
+
 // Returns the time in microseconds until a body of this size, sent now, has
 // crossed the gate's link behind those that are ahead of it. `age` is the time
 // since the report, in microseconds.
 double TransferTime(const gate_report& report, std::uint64_t sent_since_report,
                     double age, std::uint64_t body_bytes) {
-  constexpr double kMicrosecondsPerSecond = 1e6;
   if (body_bytes == 0 || report.bytes_per_second <= 0) return 0;
   const double moved = report.bytes_per_second * age / kMicrosecondsPerSecond;
   const double backlog =
@@ -48,8 +59,8 @@
   const double far = candidate.is_near ? 0 : options_.distance_cost * base_time;
   if (known == nullptr) return {.cost = base_time + far};
   const gate_report& report = known->report;
-  const double slots = std::max(1, candidate.slots);
   const double time = base_time * report.latency_ratio;
+  const double slots = UsableSlots(candidate.slots, report, time);
   // The load at the time of the report is assumed to fall exponentially, with
   // the time at the server as its time constant.
   const double age = Microseconds(
--- a/src/decisions/gate_choice.h
+++ b/src/decisions/gate_choice.h
@@ -35,6 +35,8 @@
   // that are waiting or under way. Zero rate: unknown.
   double bytes_per_second = 0;
   std::uint64_t body_backlog = 0;
+  // Requests a second that its server takes. Zero: no limit is named.
+  double requests_per_second = 0;
 };
 
 struct gate_choice_options {
--- a/tests/decisions/gate_choice_test.cc
+++ b/tests/decisions/gate_choice_test.cc
@@ -146,6 +146,24 @@
   CHECK(ChooseFrom(choice, kTwoNear).index == 1);
 }
 
+// The load: a server with free slots that takes 10 requests a second, which is
+// one at a time at 100 ms each.
+TEST_CASE("a server's limit counts like fewer slots") {
+  gate_choice choice;
+  choice.OnReport("a", {.running = 1, .slots = 6, .requests_per_second = 10},
+                  kNow);
+  choice.OnReport("b", {.running = 3, .slots = 6}, kNow);
+  CHECK(ChooseFrom(choice, kTwoNear).index == 1);
+}
+
+TEST_CASE("a limit that is higher than the slots allow changes nothing") {
+  gate_choice choice;
+  choice.OnReport("a", {.running = 1, .slots = 6, .requests_per_second = 1000},
+                  kNow);
+  choice.OnReport("b", {.running = 3, .slots = 6}, kNow);
+  CHECK(ChooseFrom(choice, kTwoNear).index == 0);
+}
+
 TEST_CASE("without candidates there is no choice") {
   CHECK_FALSE(gate_choice().Choose({}, {.typical_duration = kTypical},
                                    base::SeededRandom(1), kNow));
