Stop using a server that says in its answers that it leaves; keep notices over restarts

Fix: the gate closes as on a notice to leave. It tells routers with each answer what its server said and of which start; routers remember it (proxy/notice_book), give it along with their offers to that start, and never offer to a server that leaves. A gate believes them until its server's first own answer. The gate's keeping of notices moved out of gate.cc (proxy/gate_notices).

--- a/src/decisions/server_notices.h
+++ b/src/decisions/server_notices.h
@@ -34,10 +34,15 @@
   void OnAnswer(const server_notices& said, base::steady_instant sent,
                 base::steady_instant now);
 
+  // Records what another process knows of the same start of the server, as
+  // after a restart of this one. It holds until an answer tells more.
+  void OnPeer(const server_notices& told, base::steady_instant now);
+
   const server_notices& Current() const { return current_; }
 
  private:
   server_notices current_;
+  bool has_answer_ = false;
   base::steady_instant limit_named_at_;
 };
 
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "backend_servers/exchange.h"
-#include "proxy/notice_headers.h"
 
 namespace fireflyspar::proxy {
 namespace {
@@ -36,9 +35,6 @@
 
 constexpr milliseconds kConnectTimeout{1000};
 
-// How often the use of a server's limit is logged.
-constexpr milliseconds kLimitLogInterval{1000};
-
 // A request that may not be retried reuses only a connection that was in use
 // this recently. On a connection that the server has just closed for idleness,
 // the request's outcome would be unknown.
@@ -48,18 +44,6 @@
   return std::chrono::duration_cast<base::duration>(steady::now() - begun);
 }
 
-// The part of a value that can't be read that is logged.
-constexpr std::size_t kMaxLoggedValueBytes = 40;
-
-std::int64_t ToThousandths(std::optional<double> limit) {
-  constexpr double kThousand = 1000;
-  return static_cast<std::int64_t>(limit.value_or(0) * kThousand);
-}
-
-std::string ToText(std::optional<double> limit) {
-  return limit ? std::to_string(*limit) : "none";
-}
-
 // Returns the result for a request that left the queue without a decision.
 admission_result Abandoned(const backend_servers::cancellation& cancel) {
   return {.choice = admission_choice::kRefuse,
@@ -88,7 +72,10 @@
       pool_(options_.executor),
       transfers_(options_.transfers),
       waiters_(options_.executor),
-      turn_timer_(options_.executor) {}
+      turn_timer_(options_.executor),
+      notices_({.headers = options_.headers,
+                .metrics = options_.metrics,
+                .log = options_.log}) {}
 
 bool gate::OnHeartbeat(const server_heartbeat& heartbeat) {
   if (server_ && heartbeat.server.start_ms < server_->start_ms) return false;
@@ -100,7 +87,7 @@
     is_leaving_ = HasLeftBefore(heartbeat.server);
     is_misaddressed_ = false;
     measurements_.Restart(heartbeat.cold_left);
-    notices_.Restart();
+    notices_.Restart(heartbeat.server.id);
     admission_.SetLimit(std::nullopt, now);
     pool_.CloseIdle(address_);
   }
@@ -147,7 +134,7 @@
                         {{"server", std::string(server_id)}});
     return;
   }
-  is_leaving_ = true;
+  if (std::exchange(is_leaving_, true)) return;
   if (server_->condition == server_condition::kDraining) return;
   server_->condition = server_condition::kDraining;
   UpdateAdmission();
@@ -179,7 +166,7 @@
     options_.on_change(server_);
     UpdateAdmission();
   }
-  LogLimitUse(steady::now());
+  notices_.LogLimitUse(admission_, steady::now());
   NotifyWaiters();
 }
 
@@ -204,57 +191,18 @@
   });
 }
 
-void gate::OnNotices(const backend_servers::http_response& answer,
-                     base::steady_instant sent) {
-  const auto said = ReadNotices(answer, options_.headers);
-  if (!said) {
-    options_.metrics
-        ->Counter("fireflyspar_unreadable_values_total", "object=\"answer\"")
-        .fetch_add(1, std::memory_order_relaxed);
-    options_.log->Write(
-        event_priority::kFailure, "server_notice_unreadable",
-        {{"server", server_->id},
-         {"limit", std::string(HeaderOf(answer, options_.headers.request_limit))
-                       .substr(0, kMaxLoggedValueBytes)}});
-    return;
-  }
-  const decisions::server_notices before = notices_.Current();
-  notices_.OnAnswer(*said, sent, steady::now());
-  const decisions::server_notices& now = notices_.Current();
-  if (now == before) return;
-  admission_.SetLimit(now.requests_per_second, steady::now());
-  options_.metrics->Gauge("fireflyspar_server_limit_per_1000_seconds")
-      .store(ToThousandths(now.requests_per_second));
-  options_.log->Write(event_priority::kStateChange, "server_notices",
-                      {{"server", server_->id},
-                       {"limit_per_second", ToText(now.requests_per_second)},
-                       {"before", ToText(before.requests_per_second)},
-                       {"is_leaving", now.is_leaving ? "1" : "0"}});
-}
-
-void gate::CountSent(const call_offer& offer) {
-  ++sent_since_limit_log_;
-  options_.metrics
-      ->Counter("fireflyspar_server_requests_total",
-                std::string("origin=\"") +
-                    (offer.is_local ? "own_instance" : "other_instance") +
-                    "\",nested=\"" + (offer.is_nested_call ? "1" : "0") + "\"")
-      .fetch_add(1, std::memory_order_relaxed);
+void gate::OnPeerNotices(const told_notices& told) {
+  const bool applies = server_ && told.server_id == server_->id &&
+                       told.start_ms == server_->start_ms;
+  if (!applies) return;
+  notices_.OnPeer(told.said, steady::now());
+  ApplyNotices();
 }
 
-void gate::LogLimitUse(base::steady_instant now) {
-  if (now - limit_logged_at_ < kLimitLogInterval) return;
-  const auto limit = notices_.Current().requests_per_second;
-  if (server_ && limit) {
-    options_.log->Write(event_priority::kStateChange, "server_limit_use",
-                        {{"server", server_->id},
-                         {"limit_per_second", ToText(limit)},
-                         {"sent", std::to_string(sent_since_limit_log_)},
-                         {"running", std::to_string(admission_.Running())},
-                         {"waiting", std::to_string(admission_.Waiting())}});
-  }
-  limit_logged_at_ = now;
-  sent_since_limit_log_ = 0;
+void gate::ApplyNotices() {
+  const decisions::server_notices& said = notices_.Current();
+  admission_.SetLimit(said.requests_per_second, steady::now());
+  if (said.is_leaving) OnLeave(server_->id);
 }
 
 net::awaitable<admission_result> gate::WaitForSlot(
@@ -343,6 +291,7 @@
                                        backend_servers::cancellation& cancel) {
   base::duration waited{};
   gate_outcome outcome;
+  if (offer.told) OnPeerNotices(*offer.told);
   if (Serves(offer)) {
     outcome = co_await AdmitAndRun(offer, request, read_body, cancel, waited);
   } else {
@@ -435,7 +384,7 @@
   if (!offer.is_idempotent) options.max_idle = kMaxIdleForUnsafe;
   options.correlation_header = names.request_id;
   options.accepts_close_delimited = true;
-  CountSent(offer);
+  notices_.CountSent(offer);
   const auto sent = steady::now();
   exchange_result ended =
       co_await backend_servers::Exchange(pool_, options, request, cancel);
@@ -465,7 +414,8 @@
     co_return misdirected;
   }
   if (server_ && decisions::IsSameStart(*server_, asked)) {
-    OnNotices(ended.answer, sent);
+    notices_.OnAnswer(ended.answer, sent, steady::now());
+    ApplyNotices();
   }
   if (!HeaderOf(ended.answer, names.not_run).empty()) {
     gate_outcome refused = NotRun(error_kind::kShed, "the server refused it");
@@ -494,6 +444,14 @@
   if (server_) {
     status.server_id = server_->id;
     status.version = server_->version;
+    const decisions::server_notices& said = notices_.Current();
+    status.load.requests_per_second = said.requests_per_second.value_or(0);
+    const bool is_ordinary = said == decisions::server_notices{};
+    if (!is_ordinary) {
+      status.told = {.server_id = server_->id,
+                     .start_ms = server_->start_ms,
+                     .said = said};
+    }
   }
   status.counts = measurements_.CountsOf(route);
   status.took = took;
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -22,9 +22,9 @@
 #include "base/metrics.h"
 #include "decisions/ranked_admission.h"
 #include "decisions/server_directory.h"
-#include "decisions/server_notices.h"
 #include "decisions/transfer_queue.h"
 #include "proxy/gate_messages.h"
+#include "proxy/gate_notices.h"
 #include "proxy/header_names.h"
 #include "proxy/server_measurements.h"
 #include "proxy/turn_waiters.h"
@@ -134,14 +134,11 @@
   void NotifyWaiters();
   void ScheduleNextTurn(base::steady_instant now);
 
-  // Takes in what the server says of itself in an answer to a request that was
-  // sent to it at `sent`.
-  void OnNotices(const backend_servers::http_response& answer,
-                 base::steady_instant sent);
-  // Counts a request that is handed to the server.
-  void CountSent(const call_offer& offer);
-  // Writes how many requests the server got while a limit was in force.
-  void LogLimitUse(base::steady_instant now);
+  // Takes in what a router was told of the server, perhaps before this process
+  // started.
+  void OnPeerNotices(const told_notices& told);
+  // Puts into force what the server says of itself.
+  void ApplyNotices();
   void LogOutcome(const call_offer& offer,
                   const backend_servers::http_request& request,
                   const gate_outcome& outcome, base::duration waited);
@@ -172,9 +169,7 @@
   bool is_closed_ = false;
   bool is_misaddressed_ = false;  // Another server responds at `address_`.
   server_measurements measurements_;
-  decisions::notice_tracker notices_;
-  int sent_since_limit_log_ = 0;
-  base::steady_instant limit_logged_at_;
+  gate_notices notices_;
 };
 
 }  // namespace fireflyspar::proxy
--- a/src/proxy/gate_messages.cc
+++ b/src/proxy/gate_messages.cc
@@ -130,6 +130,28 @@
   return static_cast<std::int64_t>(value * kThousand);
 }
 
+// Stands for "no limit" where a limit is sent.
+constexpr std::int64_t kNoLimit = -1;
+
+void AddNotices(word_writer& words, const told_notices& told) {
+  words.Add(told.server_id).Add(told.start_ms);
+  const auto limit = told.said.requests_per_second;
+  words.Add(limit ? ToThousandths(*limit) : kNoLimit);
+  words.Add(told.said.is_leaving);
+}
+
+// Returns nothing if there are no more words.
+std::optional<told_notices> ReadNotices(word_reader& words) {
+  if (words.AtEnd()) return std::nullopt;
+  told_notices told{.server_id = words.Word(), .start_ms = words.Number()};
+  const std::int64_t limit = words.Number();
+  if (limit >= 0) {
+    told.said.requests_per_second = static_cast<double>(limit) / kThousand;
+  }
+  told.said.is_leaving = words.Number() != 0;
+  return told;
+}
+
 constexpr std::array<std::pair<gate_outcome_kind, std::string_view>, 4>
     kOutcomeKindNames = {{
         {gate_outcome_kind::kAnswered, "answered"},
@@ -171,6 +193,7 @@
       .Add(offer.time_to_objective);
   words.Add(offer.typical_duration);
   words.Add(static_cast<std::int64_t>(offer.body_bytes));
+  if (offer.told) AddNotices(words, *offer.told);
   return std::move(words).Text();
 }
 
@@ -191,6 +214,7 @@
   if (!words.AtEnd()) {
     offer.body_bytes = static_cast<std::uint64_t>(words.Number());
   }
+  offer.told = ReadNotices(words);
   if (!words.Ok()) return std::nullopt;
   return offer;
 }
@@ -211,6 +235,7 @@
     words.Add(static_cast<std::int64_t>(each.era));
     words.Add(static_cast<std::int64_t>(each.number));
   }
+  if (status.told) AddNotices(words, *status.told);
   return std::move(words).Text();
 }
 
@@ -237,7 +262,12 @@
     each.era = static_cast<std::uint64_t>(words.Number());
     each.number = static_cast<std::uint64_t>(words.Number());
   }
+  status.told = ReadNotices(words);
   if (!words.Ok()) return std::nullopt;
+  if (status.told) {
+    status.load.requests_per_second =
+        status.told->said.requests_per_second.value_or(0);
+  }
   return status;
 }
 
--- a/src/proxy/gate_messages.h
+++ b/src/proxy/gate_messages.h
@@ -14,6 +14,7 @@
 #include "base/error.h"
 #include "base/hooks.h"
 #include "decisions/gate_choice.h"
+#include "decisions/server_notices.h"
 #include "decisions/version_rollout.h"
 #include "proxy/shared_objects.h"
 
@@ -21,6 +22,16 @@
 
 namespace net = boost::asio;
 
+// What a process knows that a server said of itself, and which start of the
+// server said it.
+struct told_notices {
+  std::string server_id;
+  std::int64_t start_ms = 0;
+  decisions::server_notices said;
+
+  bool operator==(const told_notices&) const = default;
+};
+
 // A request that a router offers to a gate.
 struct call_offer {
   std::string service;
@@ -39,6 +50,9 @@
   // How long a request on this route typically takes at a server.
   base::duration typical_duration{};
   std::uint64_t body_bytes = 0;  // Length of the request's body.
+  // What the router was told of the server behind the gate: a gate that has
+  // just started knows less.
+  std::optional<told_notices> told;
   // Whether the router of the same process makes the offer; not transmitted.
   bool is_local = false;
 
@@ -56,6 +70,8 @@
   decisions::run_counts counts;  // Outcomes on the request's route.
   base::duration took{};         // This request's time at the server.
   shared_revisions held;         // What the gate's process holds of each kind.
+  // What the server says of itself, if that is anything out of the ordinary.
+  std::optional<told_notices> told;
 };
 
 std::string ToText(const gate_status& status);
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -153,6 +153,7 @@
   std::erase_if(servers_seen_, [&entries](const auto& each) {
     return !entries.contains(each.first);
   });
+  notices_.KeepOnly(*options_.directory);
 }
 
 net::awaitable<http_response> router::Route(served_call& call) {
@@ -318,7 +319,8 @@
                        [&](const server_entry* each) {
                          return each->server.version == version &&
                                 !context.ran_on.contains(each->instance) &&
-                                !context.refused.contains(each->instance);
+                                !context.refused.contains(each->instance) &&
+                                !notices_.IsLeaving(*each);
                        });
   const auto cut_off =
       std::ranges::partition(found, [&](const server_entry* each) {
@@ -375,6 +377,7 @@
                          .time_to_objective = left(context.objective),
                          .typical_duration = TypicalDuration(context),
                          .body_bytes = context.call->request.body().size(),
+                         .told = notices_.Find(entry),
                          .is_local = entry.instance == options_.instance};
   choice_.OnSend(entry.instance, offer.body_bytes);
   gate_outcome outcome;
@@ -444,6 +447,7 @@
     if (to.instance != options_.instance) {
       options_.on_peer_holds(to, status.held);
     }
+    notices_.Put(to.instance, status.told);
     choice_.OnReport(to.instance, status.load, now);
     options_.rollout_states->OnStatus(context.service, context.route->name,
                                       status);
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -27,6 +27,7 @@
 #include "proxy/gate_reachability.h"
 #include "proxy/header_names.h"
 #include "proxy/listener.h"
+#include "proxy/notice_book.h"
 #include "proxy/rollouts.h"
 
 namespace fireflyspar::proxy {
@@ -149,6 +150,7 @@
   // By instance.
   std::map<std::string, decisions::server_info, std::less<>> servers_seen_;
   gate_reachability reachability_;
+  notice_book notices_;
 };
 
 }  // namespace fireflyspar::proxy
--- a/tests/decisions/server_notices_test.cc
+++ b/tests/decisions/server_notices_test.cc
@@ -47,5 +47,16 @@
   CHECK(tested.Current() == kNothing);
 }
 
+TEST_CASE("what peers were told holds until an answer tells more") {
+  notice_tracker tested;
+  tested.OnPeer({.requests_per_second = 20}, kStart);
+  tested.OnPeer(kTen, kStart);
+  tested.OnPeer({.requests_per_second = 30}, kStart);
+  CHECK(tested.Current() == kTen);
+  tested.OnAnswer(kNothing, kStart + milliseconds(1), kStart + milliseconds(2));
+  tested.OnPeer(kTen, kStart + milliseconds(3));
+  CHECK(tested.Current() == kNothing);
+}
+
 }  // namespace
 }  // namespace fireflyspar::decisions
--- a/tests/proxy/messages_test.cc
+++ b/tests/proxy/messages_test.cc
@@ -76,6 +76,30 @@
   CHECK(*parsed == offer);
 }
 
+TEST_CASE("notices are unchanged after encoding and parsing") {
+  const told_notices told{
+      .server_id = "i-1",
+      .start_ms = 1'700'000'000'000,
+      .said = {.requests_per_second = 20.375, .is_leaving = true}};
+  call_offer offer = Offer();
+  offer.told = told;
+  CHECK(ParseOffer(ToText(offer)).value() == offer);
+  offer.told->said.requests_per_second.reset();
+  CHECK(ParseOffer(ToText(offer)).value() == offer);
+  const auto status = ParseStatus(ToText(gate_status{.told = told}));
+  REQUIRE(status);
+  CHECK(status->told == told);
+  CHECK(status->load.requests_per_second == 20.375);
+}
+
+TEST_CASE("half of a notice is rejected") {
+  call_offer offer = Offer();
+  offer.told = told_notices{.server_id = "i-1", .start_ms = 5};
+  std::string text = ToText(offer);
+  text.resize(text.rfind(' '));
+  CHECK_FALSE(ParseOffer(text));
+}
+
 TEST_CASE("a malformed escape is rejected") {
   std::string text = ToText(Offer());
   const std::string escape = GENERATE("%", "%4", "%zz", "%-1");
--- a/tests/proxy/notice_server.cc
+++ b/tests/proxy/notice_server.cc
@@ -90,10 +90,12 @@
   outcome = co_await gate_->Run(offer, request, nullptr, never);
 }
 
-gate_outcome notice_server::Offer() {
+gate_outcome notice_server::Offer(std::optional<told_notices> told) {
   gate_outcome outcome;
+  call_offer offer = OfferToServer();
+  offer.told = std::move(told);
   bool has_ended = false;
-  net::co_spawn(loop_, OfferOne(OfferToServer(), outcome),
+  net::co_spawn(loop_, OfferOne(std::move(offer), outcome),
                 [&](const std::exception_ptr&) { has_ended = true; });
   loop_.restart();
   while (!has_ended) loop_.run_one();
--- a/tests/proxy/notice_server.h
+++ b/tests/proxy/notice_server.h
@@ -29,8 +29,9 @@
   // The server on whose behalf the gate is opened.
   static decisions::server_info Info();
 
-  // Offers one request and waits for its outcome.
-  gate_outcome Offer();
+  // Offers one request and waits for its outcome. `told` is what its router was
+  // told of the server before.
+  gate_outcome Offer(std::optional<told_notices> told = std::nullopt);
 
   // Offers requests for `span`, one every `gap`: each third one comes from the
   // router of the same process, each fifth one is a call of a running server.
