Keep a server that left closed after silence and after a restart

What could happen: a server left, and its gate admitted requests again when one of its reports came seconds late. Cause: the gate forgot the leaving (1) when the server had been silent for 5 s, (2) when its process was restarted, although the entry in the store said it, (3) when the notice came before any report and the process was restarted once more: the entry still said that it serves. Fix: the gate remembers which starts have left, reads its own entry from the store, and publishes a leaving that it knows of the entry's server. Tests failed with the lines of the fix taken out: 'a server that left and fell silent stays closed to late reports', 'a restarted process learns from the store that a server left', 'a notice to leave before any report is published'.

--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -247,7 +247,10 @@
           .rollout_states = &rollouts_,
           .router = &router_,
           .writer = &rollout_writer_,
-          .publisher = &publisher_};
+          .publisher = &publisher_,
+          .on_own_server = [this](const decisions::server_info& stored) {
+            gate_.OnStored(stored);
+          }};
 }
 
 base::status proxy_process::Start() {
--- a/src/app/store_follower.cc
+++ b/src/app/store_follower.cc
@@ -309,6 +309,9 @@
     Reject("entry_rejected", object, "a field is missing or unreadable");
     return options_.directory->Remove(object.name);
   }
+  if (entry->instance == options_.instance) {
+    options_.on_own_server(entry->server);
+  }
   // The entry of another instance with this process's own gate address is
   // obsolete, since its process can no longer be listening there.
   const bool has_own_address =
--- a/src/app/store_follower.h
+++ b/src/app/store_follower.h
@@ -54,6 +54,9 @@
   proxy::router* router = nullptr;
   rollout_writer* writer = nullptr;
   entry_publisher* publisher = nullptr;
+  // Called with what the store holds of the server on this instance.
+  std::function<void(const decisions::server_info&)> on_own_server =
+      [](const auto&) {};
 };
 
 class store_follower {
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -21,9 +21,6 @@
 using std::chrono::milliseconds;
 using steady = std::chrono::steady_clock;
 
-// A server that has not reported for this long is considered gone.
-constexpr milliseconds kHeartbeatTimeout{5000};
-
 // The wait that refusals give while the server is leaving: routers avoid the
 // gate for this long. They learn of its successor on this instance from that
 // server's entry and can then offer it requests at once.
@@ -114,26 +111,31 @@
   return true;
 }
 
-// Returns whether a notice to leave arrived before the first heartbeat of this
-// start of the server. A restarted server may keep its id, but a notice to
-// leave that came before its start does not apply to it.
+// Returns whether this start of the server has left. A restarted server may
+// keep its id, but what was heard before its start does not apply to it.
 bool gate::HasLeftBefore(const decisions::server_info& server) {
-  const auto leave = early_leaves_.find(server.id);
-  if (leave == early_leaves_.end()) return false;
-  const bool is_new_start = server.start_ms > leave->second;
-  if (is_new_start) early_leaves_.erase(leave);
+  const bool is_stored_as_leaving =
+      stored_ && stored_->condition == server_condition::kDraining &&
+      decisions::IsSameStart(*stored_, server);
+  if (is_stored_as_leaving) return true;
+  const auto left = left_.find(server.id);
+  if (left == left_.end()) return false;
+  const bool is_new_start = server.start_ms > left->second;
+  if (is_new_start) left_.erase(left);
   return !is_new_start;
 }
 
 void gate::OnLeave(std::string_view server_id) {
   if (!server_ || server_->id != server_id) {
     const auto now = options_.clock().time_since_epoch();
-    early_leaves_[std::string(server_id)] =
+    left_[std::string(server_id)] =
         std::chrono::duration_cast<milliseconds>(now).count();
     options_.log->Write(event_priority::kStateChange, "server_leaving",
                         {{"server", std::string(server_id)}});
+    PublishEarlyLeave();
     return;
   }
+  left_[server_->id] = server_->start_ms;
   if (std::exchange(is_leaving_, true)) return;
   if (server_->condition == server_condition::kDraining) return;
   server_->condition = server_condition::kDraining;
@@ -143,6 +145,23 @@
   options_.on_change(server_);
 }
 
+void gate::PublishEarlyLeave() {
+  const bool has_left = !server_ && stored_ &&
+                        stored_->condition == server_condition::kServing &&
+                        HasLeftBefore(*stored_);
+  if (!has_left) return;
+  decisions::server_info leaving = *stored_;
+  leaving.condition = server_condition::kDraining;
+  options_.on_change(leaving);
+}
+
+void gate::OnStored(const decisions::server_info& stored) {
+  stored_ = stored;
+  PublishEarlyLeave();
+  const bool is_leaving = server_ && HasLeftBefore(*server_);
+  if (is_leaving) OnLeave(server_->id);
+}
+
 void gate::UpdateAdmission() {
   const bool is_open = server_ && !is_closed_ && !is_misaddressed_ &&
                        server_->condition == server_condition::kServing;
@@ -157,11 +176,14 @@
 }
 
 void gate::Tick() {
-  if (server_ && steady::now() - last_heartbeat_at_ > kHeartbeatTimeout) {
-    options_.log->Write(
-        event_priority::kStateChange, "server_silent",
-        {{"server", server_->id},
-         {"silent_ms", std::to_string(kHeartbeatTimeout.count())}});
+  const auto silent = ElapsedSince(last_heartbeat_at_);
+  if (server_ && silent > options_.heartbeat_timeout) {
+    options_.log->Write(event_priority::kStateChange, "server_silent",
+                        {{"server", server_->id},
+                         {"silent_us", std::to_string(silent.count())}});
+    if (server_->condition == server_condition::kDraining) {
+      left_[server_->id] = server_->start_ms;
+    }
     server_.reset();
     options_.on_change(server_);
     UpdateAdmission();
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -50,6 +50,8 @@
   base::metrics* metrics = nullptr;
   base::event_log* log = nullptr;
   decisions::transfer_queue_options transfers;
+  // A server that has not reported for this long is considered gone.
+  base::duration heartbeat_timeout = std::chrono::seconds(5);
   // Returns what this process holds of the shared objects.
   std::function<shared_revisions()> held = [] { return shared_revisions{}; };
   // Called when the published state of the server changes; nullopt when the
@@ -72,6 +74,10 @@
   // requests from now on, even if it has not reported to this process yet.
   void OnLeave(std::string_view server_id);
 
+  // Takes in what the store holds of the server on this instance. A process
+  // that was restarted learns so that the server has left.
+  void OnStored(const decisions::server_info& stored);
+
   // Detects a server that stopped reporting. Must be called a few times a
   // second.
   void Tick();
@@ -146,6 +152,9 @@
   // Returns whether the server here is of the offer's service and version.
   bool Serves(const call_offer& offer) const;
   bool HasLeftBefore(const decisions::server_info& server);
+  // Publishes that the server of the store's entry has left, if a notice to
+  // leave arrived before any heartbeat.
+  void PublishEarlyLeave();
   void UpdateAdmission();
 
   gate_options options_;
@@ -162,10 +171,12 @@
   std::uint64_t sequence_ = 0;
   base::steady_instant last_heartbeat_at_;
   bool is_leaving_ = false;
-  // Servers whose notice to leave arrived before any heartbeat: by server id,
-  // the Unix time in milliseconds at which the notice arrived. Heartbeats that
-  // they sent before it may still arrive.
-  std::map<std::string, std::int64_t, std::less<>> early_leaves_;
+  // By server id, the Unix time in milliseconds by which the starts of the
+  // server that have left began. Heartbeats that they sent before may still
+  // arrive.
+  std::map<std::string, std::int64_t, std::less<>> left_;
+  // What the store last held of the server here.
+  std::optional<decisions::server_info> stored_;
   bool is_closed_ = false;
   bool is_misaddressed_ = false;  // Another server responds at `address_`.
   server_measurements measurements_;
--- a/tests/proxy/gate_test.cc
+++ b/tests/proxy/gate_test.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
+#include <optional>
+#include <thread>
 
 namespace fireflyspar::proxy {
 namespace {
@@ -23,6 +25,8 @@
 
 const base::address kServerAddress{.ip = "127.0.0.1", .port = 9};
 
+constexpr milliseconds kHeartbeatTimeout{20};
+
 struct gate_fixture {
   // Offers a request to the gate and returns its outcome.
   gate_outcome Offer(std::uint64_t body_bytes = 0,
@@ -55,12 +59,18 @@
       {.write = [](std::string_view bytes) { return bytes.size(); },
        .clock = base::SystemClock()}};
   int changes = 0;
+  std::optional<decisions::server_info> published;
   base::instant now{std::chrono::milliseconds(5000)};
   gate tested{{.executor = loop.get_executor(),
                .clock = [this] { return now; },
                .metrics = &metrics,
                .log = &log,
-               .on_change = [this](const auto&) { ++changes; }}};
+               .heartbeat_timeout = kHeartbeatTimeout,
+               .on_change =
+                   [this](const auto& server) {
+                     ++changes;
+                     published = server;
+                   }}};
 };
 
 TEST_CASE("a gate without a server report admits nothing") {
@@ -107,6 +117,65 @@
   CHECK(fixture.Offer().reason == base::error_kind::kDraining);
 }
 
+// Guards against a server that left being used again: its gate forgot it when
+// its reports ended, and one of them arrived seconds late.
+TEST_CASE("a server that left and fell silent stays closed to late reports") {
+  gate_fixture fixture;
+  const bool says_draining = GENERATE(false, true);
+  fixture.tested.OnHeartbeat(
+      {.server = Server(says_draining ? server_condition::kDraining
+                                      : server_condition::kServing),
+       .address = kServerAddress,
+       .sequence = 14});
+  if (!says_draining) fixture.tested.OnLeave("i-1");
+  std::this_thread::sleep_for(2 * kHeartbeatTimeout);
+  fixture.tested.Tick();
+  REQUIRE_FALSE(fixture.tested.Server());
+  fixture.tested.OnHeartbeat({.server = Server(server_condition::kServing),
+                              .address = kServerAddress,
+                              .sequence = 13});
+  CHECK(fixture.Offer().reason == base::error_kind::kDraining);
+}
+
+// Guards against a server that left being used again: its notice came to the
+// process before a restart, and a late report to the one after it.
+TEST_CASE("a restarted process learns from the store that a server left") {
+  gate_fixture fixture;
+  const bool is_stored_first = GENERATE(false, true);
+  const auto stored = Server(server_condition::kDraining);
+  if (is_stored_first) fixture.tested.OnStored(stored);
+  fixture.tested.OnHeartbeat({.server = Server(server_condition::kServing),
+                              .address = kServerAddress,
+                              .sequence = 13});
+  if (!is_stored_first) fixture.tested.OnStored(stored);
+  CHECK(fixture.Offer().reason == base::error_kind::kDraining);
+  CHECK(fixture.published->condition == server_condition::kDraining);
+}
+
+// Guards against the same after two restarts: the notice came between them,
+// when the process knew the server from the store only.
+TEST_CASE("a notice to leave before any report is published") {
+  gate_fixture fixture;
+  const bool is_stored_first = GENERATE(false, true);
+  const auto stored = Server(server_condition::kServing);
+  if (is_stored_first) fixture.tested.OnStored(stored);
+  fixture.tested.OnLeave("i-1");
+  if (!is_stored_first) fixture.tested.OnStored(stored);
+  REQUIRE(fixture.published);
+  CHECK(fixture.published->id == "i-1");
+  CHECK(fixture.published->condition == server_condition::kDraining);
+}
+
+TEST_CASE("what the store holds of an earlier start does not close the gate") {
+  gate_fixture fixture;
+  fixture.tested.OnStored(Server(server_condition::kDraining));
+  decisions::server_info again = Server(server_condition::kServing);
+  again.start_ms = 6000;
+  fixture.tested.OnHeartbeat(
+      {.server = again, .address = kServerAddress, .sequence = 1});
+  CHECK(fixture.tested.Server()->condition == server_condition::kServing);
+}
+
 TEST_CASE("a server that restarts after it left is accepted") {
   gate_fixture fixture;
   fixture.tested.OnLeave("i-1");
