Refuse an answer by its announced length before memory is reserved

What could happen: one answer of a faulty server with a huge Content-Length ended the whole process (std::bad_alloc out of the event loop), and one of some 100 MB passed the limit of 8 MB. Cause: read in one go, Beast's parser passes over the error that it finds in the head when bytes of the body are there already, and string_body reserves the length. Fix: the head is read alone, as the listener already does for requests.

--- a/src/backend_servers/exchange.cc
+++ b/src/backend_servers/exchange.cc
@@ -82,9 +82,16 @@
     parser->header_limit(kMaxHeaderBytes);
     parser->body_limit(kMaxResponseBytes);
     parser->skip(is_head_request);
-    co_await http::async_read(used.stream, used.buffer, *parser, token);
+    // The head is read alone: when it is read along with the body, the parser
+    // passes over an error that it found in the head, such as a length above
+    // the limit, and reserves the memory.
+    co_await http::async_read_header(used.stream, used.buffer, *parser, token);
     if (error) co_return error;
   } while (IsInformational(*parser));
+  if (!parser->is_done()) {
+    co_await http::async_read(used.stream, used.buffer, *parser, token);
+    if (error) co_return error;
+  }
   const bool is_close_delimited = !is_head_request && parser->need_eof();
   if (is_close_delimited && !accepts_close_delimited) {
     co_return http::error::partial_message;
--- /dev/null
+++ b/tests/backend_servers/scripted_peer.h
@@ -0,0 +1,67 @@
+// A server that answers each request as a script says, and one client of it:
+// for the tests of servers that send what is no answer.
+#ifndef FIREFLYSPAR_TESTS_BACKEND_SERVERS_SCRIPTED_PEER_H_
+#define FIREFLYSPAR_TESTS_BACKEND_SERVERS_SCRIPTED_PEER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "backend_servers/exchange.h"
+
+namespace fireflyspar::backend_servers {
+
+class scripted_peer {
+ public:
+  // Writes the answer to the request with this id, and more.
+  using script =
+      std::function<net::awaitable<void>(tcp::socket&, const std::string& id)>;
+
+  scripted_peer(net::io_context& loop, script answer);
+
+  base::address Address() const {
+    return {.ip = "127.0.0.1", .port = acceptor_.local_endpoint().port()};
+  }
+  int Connections() const { return connections_; }
+
+  // Accepts no more connections.
+  void Close() { acceptor_.close(); }
+
+ private:
+  net::awaitable<void> Accept();
+  net::awaitable<void> Serve(tcp::socket socket);
+
+  tcp::acceptor acceptor_;
+  script answer_;
+  int connections_ = 0;
+};
+
+// A client of one peer, with a pool of connections.
+class peer_client {
+ public:
+  explicit peer_client(scripted_peer::script answer)
+      : peer_(loop_, std::move(answer)) {}
+
+  // Ends all connections and waits for the peer to notice.
+  ~peer_client();
+  peer_client(const peer_client&) = delete;
+  peer_client& operator=(const peer_client&) = delete;
+
+  // Sends a request with this id and waits for what becomes of it.
+  exchange_result Send(const std::string& id);
+
+  void RunFor(std::chrono::milliseconds span) { loop_.run_for(span); }
+  int Connections() const { return peer_.Connections(); }
+
+ private:
+  net::io_context loop_;
+  scripted_peer peer_;
+  std::optional<connection_pool> pool_{loop_.get_executor()};
+};
+
+}  // namespace fireflyspar::backend_servers
+
+#endif  // FIREFLYSPAR_TESTS_BACKEND_SERVERS_SCRIPTED_PEER_H_
