Bound what a connection holds unparsed and the informational answers before one

What could happen: a server (or a caller) that sends a chunk's extension or trailers without end filled the process's memory until the deadline; one that sends 1xx answers without end held its request until the deadline. Cause: the parser's limits cover the head and the body's bytes, not chunk headers and trailers, and the connection's buffer had no limit; informational answers were skipped without count. Fix: 256 KB of unparsed bytes for a connection, 8 informational answers.

--- a/src/backend_servers/exchange.cc
+++ b/src/backend_servers/exchange.cc
@@ -19,6 +19,9 @@
 // If all of them belong to earlier requests, the exchange fails.
 constexpr int kMaxStaleAnswers = 4;
 
+// Informational answers (1xx) before the final one.
+constexpr int kMaxInformational = 8;
+
 // Makes a cancellation stop the connection's operations, for the lifetime of
 // the object.
 class cancel_scope {
@@ -77,7 +80,9 @@
   error_code error;
   auto token = net::redirect_error(net::use_awaitable, error);
   std::optional<answer_parser> parser;
+  int informational = 0;
   do {
+    if (informational++ > kMaxInformational) co_return http::error::bad_status;
     parser.emplace();
     parser->header_limit(kMaxHeaderBytes);
     parser->body_limit(kMaxResponseBytes);
--- a/src/backend_servers/http.h
+++ b/src/backend_servers/http.h
@@ -38,6 +38,10 @@
 inline constexpr std::uint64_t kMaxRequestBytes = 1'048'576;
 inline constexpr std::uint64_t kMaxResponseBytes = 8'388'608;
 
+// The bytes of one connection that are held unparsed. Chunk headers and trailers
+// have no other limit.
+inline constexpr std::size_t kMaxBufferedBytes = 262'144;
+
 // A connection and the bytes read from it beyond the last message.
 struct connection {
   explicit connection(const net::any_io_executor& executor)
@@ -45,7 +49,7 @@
   explicit connection(tcp::socket&& socket) : stream(std::move(socket)) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxBufferedBytes};
 };
 
 // Tells the code that works on a caller's request that the caller has gone
