Give no answer to a request unless it is certainly its own

What could happen: (1) a server sends a second copy of an answer late on a connection that is in use again, and the copy bears no id: the next caller got it. (2) A server refuses a request as not run, gets it again on the same connection, and repeats the refusal: the caller is told 'not run' while it runs. Cause: an answer without the echoed id counted as the current one's; one id could go twice over one connection. Fix: without the id only a fresh connection's answer is trusted; otherwise the outcome is unknown. A connection does not carry the same id again.

--- a/src/backend_servers/exchange.cc
+++ b/src/backend_servers/exchange.cc
@@ -112,13 +112,26 @@
   co_return error;
 }
 
-// Returns whether `header` shows that the answer belongs to another request.
-bool AnswersOtherRequest(const http_response& answer,
-                         const http_request& request,
-                         const std::string& header) {
-  if (header.empty()) return false;
+// Returns the id that the peer echoes; empty if it echoes none.
+std::string_view IdOf(const http_request& request,
+                      const exchange_options& options) {
+  if (options.correlation_header.empty()) return {};
+  return HeaderOf(request, options.correlation_header);
+}
+
+enum class answer_owner { kThisRequest, kOtherRequest, kNobodyKnows };
+
+// Tells by the correlation header whose answer this is. One without the header
+// can only be trusted on a connection without earlier requests.
+answer_owner OwnerOf(const http_response& answer, std::string_view request_id,
+                     const std::string& header, bool is_fresh) {
+  if (request_id.empty()) return answer_owner::kThisRequest;
   const std::string_view echoed = HeaderOf(answer, header);
-  return !echoed.empty() && echoed != HeaderOf(request, header);
+  if (echoed.empty()) {
+    return is_fresh ? answer_owner::kThisRequest : answer_owner::kNobodyKnows;
+  }
+  return echoed == request_id ? answer_owner::kThisRequest
+                              : answer_owner::kOtherRequest;
 }
 
 // Reads the answer to `request` and skips answers to earlier requests. Sets
@@ -127,7 +140,7 @@
 net::awaitable<error_code> ReadMatchingAnswer(connection& used,
                                               const exchange_options& options,
                                               const http_request& request,
-                                              bool& stays_open,
+                                              bool is_fresh, bool& stays_open,
                                               http_response& answer) {
   const bool is_head_request = request.method() == http::verb::head;
   bool none_skipped = true;
@@ -136,10 +149,13 @@
         used, is_head_request, options.accepts_close_delimited, stays_open,
         answer);
     if (error) co_return error;
-    if (!AnswersOtherRequest(answer, request, options.correlation_header)) {
+    const answer_owner owner = OwnerOf(answer, IdOf(request, options),
+                                       options.correlation_header, is_fresh);
+    if (owner == answer_owner::kThisRequest) {
       stays_open = stays_open && none_skipped;
       co_return error;
     }
+    if (owner == answer_owner::kNobodyKnows) break;
     none_skipped = false;
     if (!stays_open) break;
   }
@@ -215,8 +231,13 @@
     co_return result;
   }
   std::unique_ptr<connection> used = pool.Acquire(options.to, options.max_idle);
+  // On a connection that carried the same request before, as after a refusal,
+  // nobody could tell a second copy of the first answer from the next one.
+  const std::string_view id = IdOf(request, options);
+  if (used && !id.empty() && used->last_id == id) used.reset();
   const bool is_fresh = used == nullptr;
   if (is_fresh) used = std::make_unique<connection>(pool.Executor());
+  used->last_id = id;
   const cancel_scope scope(cancel, *used);
   error_code error;
   if (is_fresh) {
@@ -263,8 +284,8 @@
       result = MakeFailure(cancel, error, written > harmless || was_aborted);
       co_return result;
     }
-    error = co_await ReadMatchingAnswer(*used, options, request, stays_open,
-                                        result.answer);
+    error = co_await ReadMatchingAnswer(*used, options, request, is_fresh,
+                                        stays_open, result.answer);
   }
   if (error) {
     result = MakeFailure(cancel, error, true);
--- a/src/backend_servers/exchange.h
+++ b/src/backend_servers/exchange.h
@@ -44,8 +44,9 @@
   // The answer must carry the same kExchangeHeader as the request.
   bool check_exchange_id = false;
   // Name of a header that the peer copies from a request to its answer. An
-  // answer with another value belongs to an earlier request and is skipped.
-  // Empty: not checked.
+  // answer with another value belongs to an earlier request and is skipped. One
+  // without it ends an exchange on a used connection, since nobody can tell
+  // whose it is. Empty: not checked.
   std::string correlation_header;
   // Accepts an answer that has no length and ends when the peer closes the
   // connection.
--- a/src/backend_servers/http.h
+++ b/src/backend_servers/http.h
@@ -38,8 +38,8 @@
 inline constexpr std::uint64_t kMaxRequestBytes = 1'048'576;
 inline constexpr std::uint64_t kMaxResponseBytes = 8'388'608;
 
-// The bytes of one connection that are held unparsed. Chunk headers and trailers
-// have no other limit.
+// The bytes of one connection that are held unparsed. Chunk headers and
+// trailers have no other limit.
 inline constexpr std::size_t kMaxBufferedBytes = 262'144;
 
 // A connection and the bytes read from it beyond the last message.
@@ -50,6 +50,8 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer{kMaxBufferedBytes};
+  // The correlation id of the last request that was sent on it.
+  std::string last_id;
 };
 
 // Tells the code that works on a caller's request that the caller has gone
--- a/src/proxy/listener.cc
+++ b/src/proxy/listener.cc
@@ -111,6 +111,8 @@
   parser.emplace();
   parser->header_limit(limits.header_bytes);
   parser->body_limit(limits.body_bytes);
+  client.buffer.max_size(backend_servers::kMaxBufferedBytes +
+                         limits.header_bytes);
   if (client.buffer.size() == 0) {
     // The long idle timeout applies only until the first byte. From then on the
     // shorter header timeout applies, so that slow senders can't hold
