Keep one unexpected error from ending the process or a part of it

What could happen: an exception out of a handler ended the process; one out of the publication of the server, the following of the store or the tick ended that part for good, unnoticed (co_spawn with detached drops it); one out of a request's handler left its caller without an answer and its slot taken. Fix: the loop goes on after such an exception, lasting work begins again, a request gets an answer that promises nothing, the slot is given back; each is counted and logged (unexpected_error).

--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -20,6 +20,7 @@
 #include "proxy/listener.h"
 #include "proxy/rollouts.h"
 #include "proxy/router.h"
+#include "proxy/supervision.h"
 
 namespace fireflyspar::app {
 namespace {
@@ -69,9 +70,11 @@
   proxy_process(const platform_adapter& adapter, proxy_settings settings);
 
   base::status Start();
-  void Run() { loop_.run(); }
+  void Run() { proxy::RunSupervised(loop_, OnUnexpectedError()); }
 
  private:
+  // Returns the hook that reports an unexpected error.
+  proxy::unexpected_error_hook OnUnexpectedError();
   proxy::gate_options GateOptions();
   proxy::router_options RouterOptions();
   proxy::rollouts_options RolloutsOptions();
@@ -150,6 +153,15 @@
   MakeListeners();
 }
 
+proxy::unexpected_error_hook proxy_process::OnUnexpectedError() {
+  return [this](std::string_view detail) {
+    metrics_.Counter("fireflyspar_unexpected_errors_total")
+        .fetch_add(1, std::memory_order_relaxed);
+    log_.Write(event_priority::kFailure, "unexpected_error",
+               {{"detail", std::string(detail)}});
+  };
+}
+
 proxy::gate_options proxy_process::GateOptions() {
   return {.executor = executor_,
           .headers = adapter_.headers,
@@ -200,6 +212,7 @@
 
 void proxy_process::MakeListeners() {
   const auto add = [this](proxy::listener_options options) {
+    options.on_error = OnUnexpectedError();
     listeners_.push_back(
         std::make_unique<proxy::listener>(executor_, std::move(options)));
   };
@@ -248,6 +261,7 @@
           .router = &router_,
           .writer = &rollout_writer_,
           .publisher = &publisher_,
+          .on_error = OnUnexpectedError(),
           .on_own_server = [this](const decisions::server_info& stored) {
             gate_.OnStored(stored);
           }};
@@ -258,9 +272,12 @@
     if (const auto started = each->Start(); !started) return started;
   }
   follower_.Start();
-  net::co_spawn(executor_, publisher_.Run(), net::detached);
-  net::co_spawn(executor_, Tick(), net::detached);
-  net::co_spawn(executor_, HandleSignals(), net::detached);
+  const auto start = [this](std::function<net::awaitable<void>()> work) {
+    proxy::SpawnSupervised(executor_, std::move(work), OnUnexpectedError());
+  };
+  start([this] { return publisher_.Run(); });
+  start([this] { return Tick(); });
+  start([this] { return HandleSignals(); });
   log_.Write(event_priority::kStateChange, "started",
              {{"instance", settings_.instance},
               {"data_centre", settings_.data_centre},
--- a/src/app/store_follower.cc
+++ b/src/app/store_follower.cc
@@ -74,9 +74,12 @@
 void store_follower::Start() {
   started_ = steady::now();
   for (const auto& each : watchers_) {
-    net::co_spawn(options_.executor, each->Run(), net::detached);
+    proxy::SpawnSupervised(
+        options_.executor, [&watcher = *each] { return watcher.Run(); },
+        options_.on_error);
   }
-  net::co_spawn(options_.executor, watchdog_.Run(), net::detached);
+  proxy::SpawnSupervised(
+      options_.executor, [this] { return watchdog_.Run(); }, options_.on_error);
 }
 
 proxy::object_watcher_options store_follower::WatcherOptions(
--- a/src/app/store_follower.h
+++ b/src/app/store_follower.h
@@ -31,6 +31,7 @@
 #include "proxy/shared_object_puller.h"
 #include "proxy/shared_objects.h"
 #include "proxy/store_watchdog.h"
+#include "proxy/supervision.h"
 
 namespace fireflyspar::app {
 
@@ -54,6 +55,7 @@
   proxy::router* router = nullptr;
   rollout_writer* writer = nullptr;
   entry_publisher* publisher = nullptr;
+  proxy::unexpected_error_hook on_error = [](std::string_view) {};
   // Called with what the store holds of the server on this instance.
   std::function<void(const decisions::server_info&)> on_own_server =
       [](const auto&) {};
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -48,6 +48,27 @@
                                          : error_kind::kDeadlinePassed};
 }
 
+// Gives a slot back if its request ends by an exception.
+class running_slot {
+ public:
+  explicit running_slot(decisions::ranked_admission& admission)
+      : admission_(admission) {}
+  ~running_slot() {
+    if (is_held_) admission_.Leave({});
+  }
+  running_slot(const running_slot&) = delete;
+  running_slot& operator=(const running_slot&) = delete;
+
+  void Leave(base::duration took) {
+    is_held_ = false;
+    admission_.Leave(took);
+  }
+
+ private:
+  decisions::ranked_admission& admission_;
+  bool is_held_ = true;
+};
+
 // Holds the memory of a body at the gate until its request has ended.
 class held_body {
  public:
@@ -351,11 +372,12 @@
     refusal.status = Status(offer.route, {});
     co_return refusal;
   }
+  running_slot slot(admission_);
   bool has_whole_request = !cancel.IsCancelled();
   const bool must_read = read_body && !is_large;
   if (has_whole_request && must_read) has_whole_request = co_await read_body();
   if (!has_whole_request) {
-    admission_.Leave({});
+    slot.Leave({});
     NotifyWaiters();
     co_return Cancelled();
   }
@@ -363,7 +385,7 @@
   gate_outcome outcome =
       co_await SendAndTrack(offer, request, pending.deadline, cancel);
   const base::duration took = ElapsedSince(sent);
-  admission_.Leave(took);
+  slot.Leave(took);
   measurements_.Record(offer, outcome, took, steady::now());
   NotifyWaiters();
   outcome.status = Status(offer.route, took);
--- a/src/proxy/listener.cc
+++ b/src/proxy/listener.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cerrno>
+#include <exception>
 #include <optional>
 #include <set>
 #include <utility>
@@ -176,7 +177,14 @@
     call.request = parser.release();
   }
   WatchForClose(client, call.cancel);
-  http_response answer = co_await options.handler(call);
+  http_response answer;
+  try {
+    answer = co_await options.handler(call);
+  } catch (const std::exception& thrown) {
+    options.on_error(thrown.what());
+    answer = backend_servers::MakeRefusal(
+        error_kind::kInternal, "unexpected error", base::run_state::kUnknown);
+  }
   StopWatching(client);
   co_return answer;
 }
--- a/src/proxy/listener.h
+++ b/src/proxy/listener.h
@@ -14,6 +14,7 @@
 #include "base/result.h"
 #include "config/mesh_configuration.h"
 #include "proxy/body_memory.h"
+#include "proxy/supervision.h"
 
 namespace fireflyspar::proxy {
 
@@ -49,6 +50,9 @@
   // Room for the bodies of the requests in progress; null: unlimited.
   body_memory* bodies = nullptr;
   int max_connections = 3000;
+  // Called when the handler threw; its request gets an answer that promises
+  // nothing.
+  unexpected_error_hook on_error = [](std::string_view) {};
 };
 
 class listener {
