--- a/src/proxy/notice_headers.cc
+++ b/src/proxy/notice_headers.cc
@@ -13,9 +13,10 @@
 
 std::optional<double> ParseLimit(std::string_view text) {
   double number = 0;
-  const char* const end = text.data() + text.size();
+  const char* const begin = text.data();
+  const char* const end = begin + text.size();
   const auto parsed =
-      std::from_chars(text.data(), end, number, std::chars_format::fixed);
+      std::from_chars(begin, end, number, std::chars_format::fixed);
   const bool is_whole = parsed.ec == std::errc() && parsed.ptr == end;
   if (!is_whole || !std::isfinite(number) || number < 0) return std::nullopt;
   return number;
