Lift a limit only by an answer to a request that the server ran

A refusal may come from a part of the server that names nothing; lifting and naming in turn would let the queue go each time.

--- a/src/decisions/server_notices.cc
+++ b/src/decisions/server_notices.cc
@@ -5,7 +5,7 @@
 namespace fireflyspar::decisions {
 
 void notice_tracker::OnAnswer(const server_notices& said,
-                              base::steady_instant sent,
+                              const answered_request& request,
                               base::steady_instant now) {
   has_answer_ = true;
   // A server that leaves does not come back in the same start.
@@ -13,7 +13,7 @@
   if (said.requests_per_second) {
     current_.requests_per_second = said.requests_per_second;
     limit_named_at_ = now;
-  } else if (sent >= limit_named_at_) {
+  } else if (request.was_run && request.sent >= limit_named_at_) {
     current_.requests_per_second.reset();
   }
 }
--- a/src/decisions/server_notices.h
+++ b/src/decisions/server_notices.h
@@ -4,7 +4,8 @@
 //
 // Answers may be read in another order than the server wrote them in. An answer
 // without a limit therefore lifts one only if its request was sent after the
-// limit had last been named here.
+// limit had last been named here, and if the server ran it: a refusal may come
+// from a part of the server that names nothing.
 #ifndef FIREFLYSPAR_DECISIONS_SERVER_NOTICES_H_
 #define FIREFLYSPAR_DECISIONS_SERVER_NOTICES_H_
 
@@ -22,6 +23,12 @@
   bool operator==(const server_notices&) const = default;
 };
 
+// The request that an answer belongs to.
+struct answered_request {
+  base::steady_instant sent;  // When it was sent to the server.
+  bool was_run = true;        // Whether the server ran it.
+};
+
 // Holds the notices that are in force for one start of a server.
 class notice_tracker {
  public:
@@ -29,9 +36,8 @@
   // gate: nothing that was said before applies to it.
   void Restart() { *this = notice_tracker(); }
 
-  // Records what an answer said. `sent` is the time at which its request was
-  // sent to the server.
-  void OnAnswer(const server_notices& said, base::steady_instant sent,
+  // Records what an answer said.
+  void OnAnswer(const server_notices& said, const answered_request& request,
                 base::steady_instant now);
 
   // Records what another process knows of the same start of the server, as
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -458,7 +458,9 @@
     co_return misdirected;
   }
   if (server_ && decisions::IsSameStart(*server_, asked)) {
-    notices_.OnAnswer(ended.answer, sent, steady::now());
+    const bool was_run = HeaderOf(ended.answer, names.not_run).empty();
+    notices_.OnAnswer(ended.answer, {.sent = sent, .was_run = was_run},
+                      steady::now());
     ApplyNotices();
   }
   if (!HeaderOf(ended.answer, names.not_run).empty()) {
--- a/src/proxy/gate_notices.cc
+++ b/src/proxy/gate_notices.cc
@@ -35,7 +35,7 @@
 }
 
 void gate_notices::OnAnswer(const backend_servers::http_response& answer,
-                            base::steady_instant sent,
+                            const decisions::answered_request& request,
                             base::steady_instant now) {
   const auto said = ReadNotices(answer, options_.headers);
   if (!said) {
@@ -49,7 +49,7 @@
     return;
   }
   const server_notices before = Current();
-  tracker_.OnAnswer(*said, sent, now);
+  tracker_.OnAnswer(*said, request, now);
   ShowChange(before);
 }
 
--- a/src/proxy/gate_notices.h
+++ b/src/proxy/gate_notices.h
@@ -30,9 +30,10 @@
   // gate.
   void Restart(const std::string& server_id);
 
-  // Takes in an answer to a request that was sent at `sent`.
+  // Takes in an answer to `request`.
   void OnAnswer(const backend_servers::http_response& answer,
-                base::steady_instant sent, base::steady_instant now);
+                const decisions::answered_request& request,
+                base::steady_instant now);
 
   // Takes in what another process knows of the same start of the server.
   void OnPeer(const decisions::server_notices& told, base::steady_instant now);
