Show which requests were under a server that ended

The logs of BUDGET could not tell a server that ended from a lost answer, nor that two requests with different ids were the same. A gate whose connection to the server broke now finds out whether anything listens there (a connection that can be made goes into the pool, so a lost answer costs no more connections than before), and names the requests that were in flight by an identity: host, method, target, caller and body. Nothing is decided by it yet.

--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "backend_servers/exchange.h"
+#include "backend_servers/listening_check.h"
+#include "proxy/identify_request.h"
 
 namespace fireflyspar::proxy {
 namespace {
@@ -32,6 +34,10 @@
 
 constexpr milliseconds kConnectTimeout{1000};
 
+// Within this time a server on the same instance accepts a connection, or its
+// absence shows.
+constexpr milliseconds kEndCheckTimeout{200};
+
 // A request that may not be retried reuses only a connection that was in use
 // this recently. On a connection that the server has just closed for idleness,
 // the request's outcome would be unknown.
@@ -442,6 +448,7 @@
       co_return NotRun(error_kind::kDeadlinePassed, ended.detail);
     case exchange_outcome::kBroken:
       if (ended.sent) {
+        if (co_await HasServerEnded(asked)) LogServerEnd(offer, request, asked);
         co_return Unknown(error_kind::kServerFailed, ended.detail);
       }
       co_return NotRun(error_kind::kNoServer, ended.detail);
@@ -477,6 +484,38 @@
   co_return answered;
 }
 
+net::awaitable<bool> gate::HasServerEnded(const decisions::server_info& asked) {
+  const auto is_known = [&] {
+    return ended_server_ && decisions::IsSameStart(*ended_server_, asked);
+  };
+  if (is_known()) co_return true;
+  const bool is_refused = co_await backend_servers::IsConnectionRefused(
+      pool_, address_, kEndCheckTimeout);
+  if (!is_refused) co_return false;
+  if (is_known()) co_return true;
+  ended_server_ = asked;
+  options_.metrics->Counter("fireflyspar_server_ends_total")
+      .fetch_add(1, std::memory_order_relaxed);
+  options_.log->Write(
+      event_priority::kStateChange, "server_ended",
+      {{"server", asked.id}, {"running", std::to_string(running_.size())}});
+  co_return true;
+}
+
+void gate::LogServerEnd(const call_offer& offer,
+                        const backend_servers::http_request& request,
+                        const decisions::server_info& ended) {
+  const std::string_view calling_service =
+      offer.is_nested_call ? std::string_view(offer.caller_service)
+                           : std::string_view();
+  const auto identity = IdentifyRequest(request, calling_service);
+  options_.log->Write(
+      event_priority::kFailure, "ended_under",
+      {{"id", std::string(HeaderOf(request, options_.headers.request_id))},
+       {"identity", identity.digest},
+       {"server", ended.id}});
+}
+
 gate_status gate::Status(const std::string& route, base::duration took) const {
   const auto now = steady::now();
   gate_status status;
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -135,6 +135,12 @@
   net::awaitable<gate_outcome> SendAndTrack(
       const call_offer& offer, backend_servers::http_request& request,
       base::steady_instant deadline, backend_servers::cancellation& cancel);
+  // Returns whether the start of the server to which a request was sent has
+  // ended: its answer is missing, and nothing listens at its address.
+  net::awaitable<bool> HasServerEnded(const decisions::server_info& asked);
+  void LogServerEnd(const call_offer& offer,
+                    const backend_servers::http_request& request,
+                    const decisions::server_info& ended);
   // Resumes the requests whose turn has come, and does so again when the next
   // turn under the server's limit comes.
   void NotifyWaiters();
@@ -167,6 +173,8 @@
   std::uint64_t last_ticket_ = 0;
 
   std::optional<decisions::server_info> server_;
+  // The start of the server that was last found to have ended.
+  std::optional<decisions::server_info> ended_server_;
   base::address address_;
   std::uint64_t sequence_ = 0;
   base::steady_instant last_heartbeat_at_;
