Take the serving of other instances' requests out of the process

proxy_process.cc held the way from a request of another router to the gate, which no test could reach. It is a class of its own now; nothing else changes.

--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -17,6 +17,7 @@
 #include "app/store_follower.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "proxy/gate_endpoint.h"
 #include "proxy/listener.h"
 #include "proxy/rollouts.h"
 #include "proxy/router.h"
@@ -85,7 +86,6 @@
   void MakeListeners();
 
   http_response EmptyAnswer(http::status status) const;
-  net::awaitable<http_response> OnGateCall(proxy::served_call& call);
   net::awaitable<http_response> OnServerMessage(proxy::served_call& call);
   net::awaitable<http_response> OnReadiness(proxy::served_call& call);
   net::awaitable<http_response> OnMetrics(proxy::served_call& call);
@@ -118,6 +118,7 @@
   rollout_writer rollout_writer_;
   entry_publisher publisher_;
   store_follower follower_;
+  proxy::gate_endpoint gate_endpoint_;
   proxy::body_memory caller_bodies_;
   std::vector<std::unique_ptr<proxy::listener>> listeners_;
   proxy::listener* caller_listener_ = nullptr;
@@ -149,6 +150,11 @@
                   .kind = adapter_.names.entry_kind,
                   .instance = settings_.instance}),
       follower_(FollowerOptions()),
+      gate_endpoint_({.local_gate = &gate_,
+                      .shared_objects =
+                          [this](proxy::shared_kind kind) {
+                            return follower_.AnswerPeer(kind);
+                          }}),
       caller_bodies_(BodyMemory()) {
   MakeListeners();
 }
@@ -227,7 +233,10 @@
        .bodies = &caller_bodies_});
   caller_listener_ = listeners_.back().get();
   add({.address = settings_.gate,
-       .handler = [this](proxy::served_call& call) { return OnGateCall(call); },
+       .handler =
+           [this](proxy::served_call& call) {
+             return gate_endpoint_.Serve(call);
+           },
        .dead_peer_timeout = kDeadPeerTimeout,
        .defer_bodies = true});
   add({.address = settings_.reports,
@@ -288,38 +297,6 @@
   return base::success{};
 }
 
-net::awaitable<http_response> proxy_process::OnGateCall(
-    proxy::served_call& call) {
-  const auto shared =
-      proxy::ParseSharedPath(backend_servers::ToView(call.request.target()));
-  if (shared) co_return follower_.AnswerPeer(*shared);
-  const auto offer = proxy::ParseOffer(
-      backend_servers::HeaderOf(call.request, proxy::kOfferHeader));
-  if (!offer) {
-    co_return proxy::ToMessage(proxy::NotRun(error_kind::kMalformedMessage,
-                                             "the offer can't be read"));
-  }
-  // Reading a deferred body replaces the whole request, so the offer and the
-  // Expect header have to be removed again afterwards.
-  proxy::body_reader read_body;
-  const auto remove_proxy_headers = [&call] {
-    call.request.erase(proxy::kOfferHeader);
-    call.request.erase(http::field::expect);
-  };
-  remove_proxy_headers();
-  if (call.read_body) {
-    read_body = [&call, &remove_proxy_headers]() -> net::awaitable<bool> {
-      const bool is_whole = co_await call.read_body();
-      remove_proxy_headers();
-      co_return is_whole;
-    };
-  }
-  proxy::gate_outcome outcome =
-      co_await gate_.Run(*offer, call.request, read_body, *call.cancel);
-  http_response message = proxy::ToMessage(std::move(outcome));
-  co_return message;
-}
-
 http_response proxy_process::EmptyAnswer(http::status status) const {
   http_response answer = PlainAnswer(status, adapter_.empty_body);
   answer.set(http::field::content_type, adapter_.body_type);
--- /dev/null
+++ b/src/proxy/gate_endpoint.cc
@@ -0,0 +1,47 @@
+#include "proxy/gate_endpoint.h"
+
+#include <utility>
+
+namespace fireflyspar::proxy {
+
+using backend_servers::http_response;
+using base::error_kind;
+namespace http = backend_servers::http;
+
+net::awaitable<http_response> gate_endpoint::Serve(served_call& call) {
+  const auto shared =
+      ParseSharedPath(backend_servers::ToView(call.request.target()));
+  if (shared) co_return options_.shared_objects(*shared);
+  const auto offer =
+      ParseOffer(backend_servers::HeaderOf(call.request, kOfferHeader));
+  if (!offer) {
+    co_return ToMessage(
+        NotRun(error_kind::kMalformedMessage, "the offer can't be read"));
+  }
+  http_response message = co_await RunOffer(*offer, call);
+  co_return message;
+}
+
+net::awaitable<http_response> gate_endpoint::RunOffer(const call_offer& offer,
+                                                      served_call& call) {
+  // Reading a deferred body replaces the whole request, so the offer and the
+  // Expect header have to be removed again afterwards.
+  body_reader read_body;
+  const auto remove_proxy_headers = [&call] {
+    call.request.erase(kOfferHeader);
+    call.request.erase(http::field::expect);
+  };
+  remove_proxy_headers();
+  if (call.read_body) {
+    read_body = [&call, &remove_proxy_headers]() -> net::awaitable<bool> {
+      const bool is_whole = co_await call.read_body();
+      remove_proxy_headers();
+      co_return is_whole;
+    };
+  }
+  gate_outcome outcome = co_await options_.local_gate->Run(
+      offer, call.request, read_body, *call.cancel);
+  co_return ToMessage(std::move(outcome));
+}
+
+}  // namespace fireflyspar::proxy
