Clear a suspect by any run to a good end, and try one request at a time

A request that is in flight at all times could be suspected for as long as a run takes, since only runs that began after the end cleared it, and copies of it were refused meanwhile. Any run that ends well now clears all that is known then; an end counts by what was known at its admission and is not cleared since. A suspected request may run anywhere, routers only prefer the gate that would try it. The rule of trials is a pure module.

--- a/src/decisions/crash_suspects.cc
+++ b/src/decisions/crash_suspects.cc
@@ -33,19 +33,22 @@
   return last;
 }
 
-int LevelAfter(const suspect_run& run) {
-  switch (run.admission.state) {
-    case suspicion::kNone:
-      // A request that had run well has an end of level 0 by now.
-      return run.had_run_well && run.admission.known_ends.empty() ? kHadRunWell
-                                                                  : kWasUnknown;
-    case suspicion::kSuspected:
-      return kWasSuspected;
-    case suspicion::kOnTrial:
-    case suspicion::kWithheld:
-      break;
+// Returns the level of an end under the run, given what is known by now: ends
+// that were cleared while it ran don't count against it.
+int LevelAfter(const suspect& known, const suspect_run& run) {
+  const bool is_tried_again = run.admission.state == suspicion::kOnTrial &&
+                              known.held.term > 0 && !known.held.is_lifted;
+  if (is_tried_again) return kWasOnTrial;
+  std::optional<int> level;
+  for (const server_end& each : known.ends) {
+    const auto& noted = run.admission.known_ends;
+    const bool was_known = std::ranges::find(noted, each.server) != noted.end();
+    if (was_known && IsLive(each)) {
+      level = std::max(level.value_or(each.level), each.level);
+    }
   }
-  return kWasOnTrial;
+  if (level) return std::min(*level + 1, kWasOnTrial);
+  return run.had_run_well ? kHadRunWell : kWasUnknown;
 }
 
 // Adds the end, of which the highest levels stay, or joins it with what is
@@ -167,7 +170,7 @@
 const suspect& crash_suspects::OnServerEnd(const suspect_run& run,
                                            steady_instant now) {
   suspect& known = FindOrAdd(run.service, run.identity);
-  const int level = LevelAfter(run);
+  const int level = LevelAfter(known, run);
   AddEnd(known, {.server = run.server,
                  .instance = run.instance,
                  .level = level,
@@ -189,7 +192,6 @@
 
 const suspect* crash_suspects::OnGoodEnd(const suspect_run& run,
                                          steady_instant now) {
-  if (run.admission.known_ends.empty()) return nullptr;
   const suspect* const found = Find(run.service, run.identity);
   if (found == nullptr) return nullptr;
   suspect& known = FindOrAdd(run.service, run.identity);
@@ -200,16 +202,10 @@
       return Add(known.held.sound_versions, run.version) ? &known : nullptr;
     }
   }
-  bool is_news = known.held.term > 0 && !known.held.is_lifted;
+  const bool is_news =
+      known.held.term > 0 ? !known.held.is_lifted : LevelOf(known).has_value();
   known.held.is_lifted = known.held.term > 0;
-  for (server_end& each : known.ends) {
-    const bool was_known =
-        std::ranges::find(run.admission.known_ends, each.server) !=
-        run.admission.known_ends.end();
-    if (!was_known || each.is_cleared) continue;
-    each.is_cleared = true;
-    is_news = true;
-  }
+  ClearAll(known);
   return is_news ? &known : nullptr;
 }
 
--- a/src/decisions/crash_suspects.h
+++ b/src/decisions/crash_suspects.h
@@ -5,15 +5,15 @@
 // of it is innocent. What tells them apart is what happens next, so an end
 // counts for more the more was known when the request was let in:
 //
-//   level 1  nothing was known: the request is suspected and may go on, but not
-//            twice at once at one gate.
+//   level 1  nothing was known: the request is suspected. It may go on;
+//            routers prefer one and the same gate for it.
 //   level 2  it was suspected: it is put on trial. It runs at one gate at a
 //            time, and no other request on trial runs beside it there.
 //   level 3  it was on trial: it is withheld from all servers.
 //
 // Requests in flight at many servers that end at the same moment therefore
 // reach level 1, however many servers there were. A run to a good end clears
-// the ends that were known when it began. A request that had run well shortly
+// all ends that are known then. A request that had run well at the gate shortly
 // before its first end gets a level less: the most frequent requests are in
 // flight whenever a server ends.
 //
@@ -80,7 +80,7 @@
 
 enum class suspicion {
   kNone,       // It may run anywhere.
-  kSuspected,  // It may run anywhere, but not twice at once at one gate.
+  kSuspected,  // It may run anywhere, best at the gate that would try it.
   kOnTrial,    // It may run at one gate, beside no other request on trial.
   kWithheld,   // It must not run.
 };
--- a/src/proxy/caller_answers.cc
+++ b/src/proxy/caller_answers.cc
@@ -66,7 +66,8 @@
              backend_servers::ToBeast(report.request_id));
   if (outcome.end == gate_outcome_kind::kNotRun) {
     answer.result(http::status::service_unavailable);
-    const bool is_withheld = outcome.refusal == suspect_refusal::kWithheld;
+    const bool is_withheld =
+        outcome.refusal == decisions::suspect_refusal::kWithheld;
     const base::duration hint = report.least_wait.count() > 0 && !is_withheld
                                     ? report.least_wait
                                     : outcome.wait;
--- a/src/proxy/gate_messages.h
+++ b/src/proxy/gate_messages.h
@@ -16,6 +16,7 @@
 #include "decisions/crash_suspects.h"
 #include "decisions/gate_choice.h"
 #include "decisions/server_notices.h"
+#include "decisions/trial_admission.h"
 #include "decisions/version_rollout.h"
 #include "proxy/shared_objects.h"
 
@@ -82,15 +83,6 @@
 std::string ToText(const gate_status& status);
 std::optional<gate_status> ParseStatus(std::string_view text);
 
-// Why a gate refuses a request under which servers ended.
-enum class suspect_refusal {
-  kNone,          // It does not refuse it for that.
-  kWithheld,      // It must not run at any server.
-  kRunsAlready,   // The same request is running at this gate.
-  kOtherOnTrial,  // Another request is on trial at this gate.
-  kNotTriedHere,  // It must be offered to the gate that is to try it.
-};
-
 enum class gate_outcome_kind {
   kAnswered,   // The backend server responded, perhaps with an error.
   kNotRun,     // The request certainly has not run and will not run.
@@ -112,7 +104,7 @@
   std::optional<gate_status> status;
   // What the gate knows of the request, if servers ended under it.
   std::optional<decisions::suspect> suspect;
-  suspect_refusal refusal = suspect_refusal::kNone;
+  decisions::suspect_refusal refusal = decisions::suspect_refusal::kNone;
 };
 
 gate_outcome NotRun(base::error_kind reason, std::string detail);
--- a/src/proxy/gate_suspects.cc
+++ b/src/proxy/gate_suspects.cc
@@ -57,22 +57,13 @@
   if (found.known == nullptr) return std::nullopt;
   const suspicion state =
       decisions::Judge(*found.known, offer.version, steady::now());
-  auto why = suspect_refusal::kNone;
-  if (state == suspicion::kWithheld) {
-    why = suspect_refusal::kWithheld;
-  } else if (state != suspicion::kNone &&
-             running_.contains(found.identity->digest)) {
-    why = suspect_refusal::kRunsAlready;
-  } else if (state == suspicion::kOnTrial && !offer.is_trial) {
-    why = suspect_refusal::kNotTriedHere;
-  } else if (state == suspicion::kOnTrial && on_trial_ > 0) {
-    why = suspect_refusal::kOtherOnTrial;
-  }
-  if (why == suspect_refusal::kNone) return std::nullopt;
+  const auto why =
+      trials_.Evaluate(state, found.identity->digest, offer.is_trial);
+  if (why == decisions::suspect_refusal::kNone) return std::nullopt;
   return ToRefusal(why, offer, request, *found.known);
 }
 
-gate_outcome gate_suspects::ToRefusal(suspect_refusal why,
+gate_outcome gate_suspects::ToRefusal(decisions::suspect_refusal why,
                                       const call_offer& offer,
                                       const http_request& request,
                                       const suspect& known) const {
@@ -81,7 +72,7 @@
   refused.refusal = why;
   refused.suspect = known;
   refused.wait = offer.typical_duration;
-  if (why != suspect_refusal::kWithheld) return refused;
+  if (why != decisions::suspect_refusal::kWithheld) return refused;
   refused.wait = TimeLeft(known, steady::now());
   CountWithheld(*options_.metrics, "gate");
   LogWithheld(*options_.log, HeaderOf(request, options_.headers.request_id),
@@ -96,15 +87,12 @@
   running_request entered{.identity = std::move(found.identity)};
   entered.admission = decisions::crash_suspects::Admit(
       found.known, offer.version, steady::now());
-  running_.insert(entered.identity->digest);
-  if (entered.admission.state == suspicion::kOnTrial) ++on_trial_;
+  trials_.Enter(entered.admission.state, entered.identity->digest);
   return entered;
 }
 
 void gate_suspects::Leave(const running_request& entered) {
-  if (!entered.identity) return;
-  running_.erase(running_.find(entered.identity->digest));
-  if (entered.admission.state == suspicion::kOnTrial) --on_trial_;
+  trials_.Leave(entered.admission.state);
 }
 
 suspect gate_suspects::OnServerEnd(const running_request& entered,
@@ -138,11 +126,13 @@
                              const decisions::server_info& server) {
   const std::uint64_t hash = QuickHash(offer, request);
   recently_well_[hash % kRecentlyWell] = hash;
-  if (!entered.identity) return;
+  // Another copy of the request may have been let in before the end.
+  const known_request found = Find(offer, request);
+  if (found.known == nullptr) return;
   const suspect* const cleared =
       options_.suspects->OnGoodEnd({.service = offer.service,
                                     .version = offer.version,
-                                    .identity = *entered.identity,
+                                    .identity = *found.identity,
                                     .admission = entered.admission,
                                     .server = {server.id, server.start_ms},
                                     .instance = options_.instance},
--- a/src/proxy/gate_suspects.h
+++ b/src/proxy/gate_suspects.h
@@ -9,13 +9,13 @@
 #include <array>
 #include <functional>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "decisions/crash_suspects.h"
 #include "decisions/server_directory.h"
+#include "decisions/trial_admission.h"
 #include "proxy/gate_messages.h"
 #include "proxy/header_names.h"
 
@@ -84,13 +84,13 @@
   bool HadRunWell(std::uint64_t hash) const {
     return recently_well_[hash % kRecentlyWell] == hash;
   }
-  gate_outcome ToRefusal(suspect_refusal why, const call_offer& offer,
+  gate_outcome ToRefusal(decisions::suspect_refusal why,
+                         const call_offer& offer,
                          const backend_servers::http_request& request,
                          const decisions::suspect& known) const;
 
   gate_suspects_options options_;
-  std::multiset<std::string> running_;  // Digests of suspected requests.
-  int on_trial_ = 0;
+  decisions::trial_admission trials_;
   std::array<std::uint64_t, kRecentlyWell> recently_well_{};
 };
 
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -269,7 +269,7 @@
 gate_outcome router::RefuseWithheld(request_context& context) const {
   gate_outcome refused =
       NotRun(error_kind::kShed, "servers ended under this request");
-  refused.refusal = suspect_refusal::kWithheld;
+  refused.refusal = decisions::suspect_refusal::kWithheld;
   const decisions::suspect* const known = FindSuspectOf(context);
   if (known == nullptr) return refused;
   refused.wait = TimeLeft(*known, steady::now());
@@ -321,10 +321,11 @@
       co_return outcome;
     }
     ++context.refusals;
-    const bool must_stop = outcome.refusal == suspect_refusal::kWithheld ||
-                           outcome.refusal == suspect_refusal::kRunsAlready;
+    const bool must_stop =
+        outcome.refusal == decisions::suspect_refusal::kWithheld ||
+        outcome.refusal == decisions::suspect_refusal::kRunsAlready;
     if (must_stop) co_return outcome;
-    if (outcome.refusal == suspect_refusal::kNotTriedHere) {
+    if (outcome.refusal == decisions::suspect_refusal::kNotTriedHere) {
       last = std::move(outcome);
       continue;
     }
@@ -390,10 +391,12 @@
           ? decisions::suspicion::kNone
           : decisions::Judge(*known, servers.front()->server.version, now);
   if (state == decisions::suspicion::kWithheld) return nullptr;
-  if (state != decisions::suspicion::kOnTrial) {
-    return ChooseAmong(context, servers, now);
-  }
-  context.is_trial = true;
+  const bool is_first_offer = context.refusals == 0;
+  context.is_trial = state == decisions::suspicion::kOnTrial;
+  const bool is_preferred_order =
+      context.is_trial ||
+      (state == decisions::suspicion::kSuspected && is_first_offer);
+  if (!is_preferred_order) return ChooseAmong(context, servers, now);
   for (const server_entry* each : TrialOrder(*known, servers)) {
     const server_entry* const chosen =
         ChooseAmong(context, std::span(&each, 1), now);
--- a/src/proxy/suspect_headers.cc
+++ b/src/proxy/suspect_headers.cc
@@ -21,13 +21,13 @@
 // A longer header is not sent: the message would be refused for its length.
 constexpr std::size_t kMaxHeaderBytes = 8192;
 
-constexpr std::array<std::pair<suspect_refusal, std::string_view>, 5>
+constexpr std::array<std::pair<decisions::suspect_refusal, std::string_view>, 5>
     kRefusalNames = {{
-        {suspect_refusal::kNone, "none"},
-        {suspect_refusal::kWithheld, "withheld"},
-        {suspect_refusal::kRunsAlready, "runs_already"},
-        {suspect_refusal::kOtherOnTrial, "other_on_trial"},
-        {suspect_refusal::kNotTriedHere, "not_tried_here"},
+        {decisions::suspect_refusal::kNone, "none"},
+        {decisions::suspect_refusal::kWithheld, "withheld"},
+        {decisions::suspect_refusal::kRunsAlready, "runs_already"},
+        {decisions::suspect_refusal::kOtherOnTrial, "other_on_trial"},
+        {decisions::suspect_refusal::kNotTriedHere, "not_tried_here"},
     }};
 
 std::string ToHeader(const json& said) {
@@ -60,7 +60,7 @@
 void WriteSuspect(const gate_outcome& outcome,
                   backend_servers::http_response& message) {
   const bool says_nothing =
-      !outcome.suspect && outcome.refusal == suspect_refusal::kNone;
+      !outcome.suspect && outcome.refusal == decisions::suspect_refusal::kNone;
   if (says_nothing) return;
   const auto name =
       std::ranges::find(kRefusalNames, outcome.refusal,
