Keep decisions to withhold a request in the store

The process that decided now writes an object; each process lists them once when it starts, late and cheap, and again every 10 s while any request is withheld, so an operator ends a decision by deleting its object. A list that is older than the object, or of a store that was restored from a copy, does not count as a deletion; the object is written again.

--- a/src/app/platform_adapter.h
+++ b/src/app/platform_adapter.h
@@ -39,6 +39,7 @@
   std::string configuration_name;
   std::string rollout_kind;
   std::string entry_kind;
+  std::string withheld_kind;
 };
 
 struct platform_adapter {
--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -15,6 +15,7 @@
 #include "app/entry_publisher.h"
 #include "app/rollout_writer.h"
 #include "app/store_follower.h"
+#include "app/withheld_requests.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "proxy/gate_endpoint.h"
@@ -124,6 +125,7 @@
   entry_publisher publisher_;
   store_follower follower_;
   proxy::suspect_exchange suspects_;
+  withheld_requests withheld_;
   proxy::gate_endpoint gate_endpoint_;
   proxy::body_memory caller_bodies_;
   std::vector<std::unique_ptr<proxy::listener>> listeners_;
@@ -162,6 +164,18 @@
                  .directory = &directory_,
                  .log = &log_,
                  .random = random_}),
+      withheld_({.executor = executor_,
+                 .store = &store_,
+                 .log = &log_,
+                 .random = random_,
+                 .clock = clock_,
+                 .kind = adapter_.names.withheld_kind,
+                 .instance = settings_.instance,
+                 .suspects = &gate_.Suspects(),
+                 .on_lifted =
+                     [this](const decisions::suspect& lifted) {
+                       suspects_.OnChange(lifted);
+                     }}),
       gate_endpoint_({.local_gate = &gate_,
                       .suspects =
                           [this](const http_request& request) {
@@ -308,6 +322,7 @@
     proxy::SpawnSupervised(executor_, std::move(work), OnUnexpectedError());
   };
   start([this] { return publisher_.Run(); });
+  start([this] { return withheld_.Run(); });
   start([this] { return Tick(); });
   start([this] { return HandleSignals(); });
   log_.Write(event_priority::kStateChange, "started",
--- a/src/decisions/crash_suspects.cc
+++ b/src/decisions/crash_suspects.cc
@@ -14,7 +14,7 @@
 constexpr int kHadRunWell = 0;
 constexpr int kWasUnknown = 1;
 constexpr int kWasSuspected = 2;
-constexpr int kWasOnTrial = 3;
+constexpr int kWasOnTrial = kWithheldLevel;
 
 bool IsLive(const server_end& end) { return !end.is_cleared; }
 
--- a/src/decisions/crash_suspects.h
+++ b/src/decisions/crash_suspects.h
@@ -41,6 +41,9 @@
 inline constexpr std::size_t kMaxSuspectEnds = 8;
 inline constexpr std::size_t kMaxSuspectVersions = 8;
 
+// The level of an end after which a request is withheld; see above.
+inline constexpr int kWithheldLevel = 3;
+
 // A start of a server: its id and the Unix time of the start in milliseconds.
 using server_start = std::pair<std::string, std::int64_t>;
 
