--- a/src/decisions/shared_retry_budget.cc
+++ b/src/decisions/shared_retry_budget.cc
@@ -15,11 +15,10 @@
     std::string_view service, base::steady_instant now) {
   auto found = accounts_.find(service);
   if (found == accounts_.end()) {
-    found =
-        accounts_
-            .emplace(std::string(service),
-                     account{.tokens = OwnRetriesPerWindow(), .filled = now})
-            .first;
+    found = accounts_
+                .emplace(std::string(service),
+                         account{.tokens = 0, .filled = started_})
+                .first;
   }
   account& filled = found->second;
   const double windows = std::chrono::duration<double>(now - filled.filled) /
--- a/src/decisions/shared_retry_budget.h
+++ b/src/decisions/shared_retry_budget.h
@@ -30,8 +30,12 @@
 
 class shared_retry_budget {
  public:
-  explicit shared_retry_budget(shared_retry_budget_options options)
-      : options_(options) {}
+  // `started`: when this proxy started. What it may retry grows from nothing
+  // then: a proxy that is restarted again and again would otherwise spend its
+  // share of the fixed number each time.
+  explicit shared_retry_budget(shared_retry_budget_options options,
+                               base::steady_instant started = {})
+      : options_(options), started_(started) {}
 
   // Sets how many proxies share `retries_per_window`; less than 1 counts as 1.
   void SetProxies(int count) { proxies_ = count < 1 ? 1 : count; }
@@ -58,6 +62,7 @@
   }
 
   shared_retry_budget_options options_;
+  base::steady_instant started_;
   int proxies_ = 1;
   std::map<std::string, account, std::less<>> accounts_;
 };
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -129,7 +129,7 @@
       answers_({.headers = options_.headers,
                 .metrics = options_.metrics,
                 .log = options_.log}),
-      budget_(options_.budget),
+      budget_(options_.budget, steady::now()),
       reachability_({.executor = options_.executor,
                      .random = options_.random,
                      .log = options_.log,
--- a/tests/decisions/shared_retry_budget_test.cc
+++ b/tests/decisions/shared_retry_budget_test.cc
@@ -51,6 +51,34 @@
   }
 }
 
+// Guards against BUDGET over restarts: each start of a proxy began with its
+// share of the fixed number anew, so restarts at a low rate of requests passed
+// the bound.
+TEST_CASE("restarts of proxies don't raise what all may retry together") {
+  constexpr int kProxies = 12;
+  constexpr seconds kLife{2};
+  constexpr milliseconds kBetweenRequests{500};
+  int taken = 0;
+  int requests = 0;
+  for (auto born = kStart; born < kStart + seconds(10); born += kLife) {
+    shared_retry_budget budget(Options(), born);
+    budget.SetProxies(kProxies);
+    for (auto now = born; now < born + kLife; now += kBetweenRequests) {
+      budget.OnFirstAttempt("stock", now);
+      ++requests;
+      while (budget.TryTake("stock", now)) ++taken;
+    }
+  }
+  CHECK(taken * kProxies <= 0.2 * requests * kProxies + 60);
+}
+
+TEST_CASE("a proxy that has just started may retry soon") {
+  shared_retry_budget budget(Options(), kStart);
+  budget.SetProxies(12);
+  CHECK_FALSE(budget.TryTake("stock", kStart));
+  CHECK(budget.TryTake("stock", kStart + seconds(4)));
+}
+
 TEST_CASE("each service has a budget of its own") {
   shared_retry_budget budget(Options());
   while (budget.TryTake("stock", kStart)) {
