Hold the bound for callers that leave and for copies that come at once

And copies at several instances, once suspected, each went to another server: a gate now sends a router that does not know to the one that all prefer.

--- a/src/decisions/crash_suspects.h
+++ b/src/decisions/crash_suspects.h
@@ -5,8 +5,8 @@
 // of it is innocent. What tells them apart is what happens next, so an end
 // counts for more the more was known when the request was let in:
 //
-//   level 1  nothing was known: the request is suspected. It may go on;
-//            routers prefer one and the same gate for it.
+//   level 1  nothing was known: the request is suspected. It may go on; all
+//            routers offer it to the same gate first.
 //   level 2  it was suspected: it is put on trial. It runs at one gate at a
 //            time, and no other request on trial runs beside it there.
 //   level 3  it was on trial: it is withheld from all servers.
--- a/src/decisions/trial_admission.cc
+++ b/src/decisions/trial_admission.cc
@@ -6,9 +6,11 @@
                                           std::string_view digest,
                                           bool is_trial) const {
   if (state == suspicion::kWithheld) return suspect_refusal::kWithheld;
-  if (state != suspicion::kOnTrial) return suspect_refusal::kNone;
-  if (on_trial_ == digest) return suspect_refusal::kRunsAlready;
+  if (state == suspicion::kNone) return suspect_refusal::kNone;
+  const bool runs_already = state == suspicion::kOnTrial && on_trial_ == digest;
+  if (runs_already) return suspect_refusal::kRunsAlready;
   if (!is_trial) return suspect_refusal::kNotTriedHere;
+  if (state == suspicion::kSuspected) return suspect_refusal::kNone;
   return on_trial_.empty() ? suspect_refusal::kNone
                            : suspect_refusal::kOtherOnTrial;
 }
--- a/src/decisions/trial_admission.h
+++ b/src/decisions/trial_admission.h
@@ -21,8 +21,8 @@
 
 class trial_admission {
  public:
-  // Returns why the request must not run here now. `is_trial`: it is offered to
-  // this gate to be tried.
+  // Returns why the request must not run here now. `is_trial`: the router that
+  // offers it knows what is known of it, and has chosen this gate by that.
   suspect_refusal Evaluate(suspicion state, std::string_view digest,
                            bool is_trial) const;
 
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -475,25 +475,8 @@
   const auto sent = steady::now();
   exchange_result ended =
       co_await backend_servers::Exchange(pool_, options, request, cancel);
-  switch (ended.end) {
-    case exchange_outcome::kCancelled:
-      co_return Cancelled();
-    case exchange_outcome::kTimedOut:
-      if (ended.sent) {
-        co_return Unknown(error_kind::kDeadlinePassed, ended.detail);
-      }
-      co_return NotRun(error_kind::kDeadlinePassed, ended.detail);
-    case exchange_outcome::kBroken:
-      if (ended.sent) {
-        gate_outcome lost = Unknown(error_kind::kServerFailed, ended.detail);
-        if (co_await HasServerEnded(asked)) {
-          lost.suspect = OnServerEnd(entered, offer, request, asked);
-        }
-        co_return lost;
-      }
-      co_return NotRun(error_kind::kNoServer, ended.detail);
-    case exchange_outcome::kAnswered:
-      break;
+  if (ended.end != exchange_outcome::kAnswered) {
+    co_return co_await WithoutAnswer(ended, offer, entered, request, asked);
   }
   constexpr unsigned kMisdirected = 421;
   if (ended.answer.result_int() == kMisdirected) {
@@ -525,6 +508,25 @@
   co_return answered;
 }
 
+net::awaitable<gate_outcome> gate::WithoutAnswer(
+    const exchange_result& ended, const call_offer& offer,
+    const running_request& entered,
+    const backend_servers::http_request& request,
+    const decisions::server_info& asked) {
+  const bool is_given_up = ended.sent && ended.end != exchange_outcome::kBroken;
+  if (is_given_up) suspects_.OnGivenUp(entered, offer, request, asked);
+  if (ended.end == exchange_outcome::kCancelled) co_return Cancelled();
+  if (ended.end == exchange_outcome::kTimedOut) {
+    co_return ended.sent ? Unknown(error_kind::kDeadlinePassed, ended.detail)
+                         : NotRun(error_kind::kDeadlinePassed, ended.detail);
+  }
+  const bool has_ended = co_await HasServerEnded(asked);
+  if (!ended.sent) co_return NotRun(error_kind::kNoServer, ended.detail);
+  gate_outcome lost = Unknown(error_kind::kServerFailed, ended.detail);
+  if (has_ended) lost.suspect = OnServerEnd(entered, offer, request, asked);
+  co_return lost;
+}
+
 net::awaitable<bool> gate::HasServerEnded(const decisions::server_info& asked) {
   const auto is_known = [&] {
     return ended_server_ && decisions::IsSameStart(*ended_server_, asked);
@@ -535,6 +537,7 @@
   if (!is_refused) co_return false;
   if (is_known()) co_return true;
   ended_server_ = asked;
+  if (!IsLeaving(asked)) suspects_.OnEndFound(asked);
   options_.metrics->Counter("fireflyspar_server_ends_total")
       .fetch_add(1, std::memory_order_relaxed);
   options_.log->Write(
@@ -543,13 +546,16 @@
   co_return true;
 }
 
+bool gate::IsLeaving(const decisions::server_info& start) const {
+  return server_ && decisions::IsSameStart(*server_, start) &&
+         server_->condition == server_condition::kDraining;
+}
+
 std::optional<decisions::suspect> gate::OnServerEnd(
     const running_request& entered, const call_offer& offer,
     const backend_servers::http_request& request,
     const decisions::server_info& ended) {
-  const bool was_leaving = server_ && decisions::IsSameStart(*server_, ended) &&
-                           server_->condition == server_condition::kDraining;
-  if (was_leaving) return std::nullopt;
+  if (IsLeaving(ended)) return std::nullopt;
   return suspects_.OnServerEnd(entered, offer, request, ended);
 }
 
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -17,6 +17,7 @@
 #include <string>
 
 #include "backend_servers/connection_pool.h"
+#include "backend_servers/exchange.h"
 #include "base/address.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
@@ -147,9 +148,17 @@
   net::awaitable<gate_outcome> SendAndTrack(
       const call_offer& offer, backend_servers::http_request& request,
       base::steady_instant deadline, backend_servers::cancellation& cancel);
+  // Returns the outcome of a request that the server did not answer.
+  net::awaitable<gate_outcome> WithoutAnswer(
+      const backend_servers::exchange_result& ended, const call_offer& offer,
+      const running_request& entered,
+      const backend_servers::http_request& request,
+      const decisions::server_info& asked);
   // Returns whether the start of the server to which a request was sent has
   // ended: its answer is missing, and nothing listens at its address.
   net::awaitable<bool> HasServerEnded(const decisions::server_info& asked);
+  // Returns whether this start of the server is known to be leaving.
+  bool IsLeaving(const decisions::server_info& start) const;
   // Records what the end of the server says of the request, unless the server
   // was leaving anyway. Returns what is known of the request then.
   std::optional<decisions::suspect> OnServerEnd(
--- a/src/proxy/gate_suspects.cc
+++ b/src/proxy/gate_suspects.cc
@@ -21,6 +21,11 @@
 // bodies apart: one taken for another costs a level of one end.
 constexpr std::size_t kHashedBodyBytes = 256;
 
+// How long a server may go on with a request that was given up on, and how many
+// of these are kept.
+constexpr std::chrono::milliseconds kGivenUpMemory{2000};
+constexpr std::size_t kMaxGivenUp = 32;
+
 // The service whose server makes the request; empty for a request of a client.
 std::string_view CallingService(const call_offer& offer) {
   return offer.is_nested_call ? std::string_view(offer.caller_service)
@@ -95,21 +100,26 @@
   trials_.Leave(entered.admission.state);
 }
 
+decisions::suspect_run gate_suspects::MakeRun(
+    const running_request& entered, const call_offer& offer,
+    const http_request& request, const decisions::server_info& server) const {
+  return {.service = offer.service,
+          .version = offer.version,
+          .identity = entered.identity
+                          ? *entered.identity
+                          : IdentifyRequest(request, CallingService(offer)),
+          .admission = entered.admission,
+          .server = {server.id, server.start_ms},
+          .instance = options_.instance,
+          .had_run_well = HadRunWell(QuickHash(offer, request))};
+}
+
 suspect gate_suspects::OnServerEnd(const running_request& entered,
                                    const call_offer& offer,
                                    const http_request& request,
                                    const decisions::server_info& server) {
-  decisions::suspect_run run{
-      .service = offer.service,
-      .version = offer.version,
-      .identity = entered.identity
-                      ? *entered.identity
-                      : IdentifyRequest(request, CallingService(offer)),
-      .admission = entered.admission,
-      .server = {server.id, server.start_ms},
-      .instance = options_.instance,
-      .had_run_well = HadRunWell(QuickHash(offer, request))};
-  const suspect& known = options_.suspects->OnServerEnd(run, steady::now());
+  const suspect& known = options_.suspects->OnServerEnd(
+      MakeRun(entered, offer, request, server), steady::now());
   options_.log->Write(
       event_priority::kFailure, "ended_under",
       {{"id", std::string(HeaderOf(request, options_.headers.request_id))},
@@ -120,6 +130,30 @@
   return known;
 }
 
+void gate_suspects::OnGivenUp(const running_request& entered,
+                              const call_offer& offer,
+                              const http_request& request,
+                              const decisions::server_info& server) {
+  const auto now = steady::now();
+  while (!given_up_.empty() && given_up_.front().at < now - kGivenUpMemory) {
+    given_up_.pop_front();
+  }
+  if (given_up_.size() >= kMaxGivenUp) given_up_.pop_front();
+  given_up_.push_back(
+      {.run = MakeRun(entered, offer, request, server), .at = now});
+}
+
+void gate_suspects::OnEndFound(const decisions::server_info& server) {
+  const auto now = steady::now();
+  for (const given_up_request& each : std::exchange(given_up_, {})) {
+    const bool may_have_run =
+        each.at >= now - kGivenUpMemory &&
+        each.run.server == decisions::server_start(server.id, server.start_ms);
+    if (!may_have_run) continue;
+    options_.on_change(options_.suspects->OnServerEnd(each.run, now));
+  }
+}
+
 void gate_suspects::OnAnswer(const running_request& entered,
                              const call_offer& offer,
                              const http_request& request,
--- a/src/proxy/gate_suspects.h
+++ b/src/proxy/gate_suspects.h
@@ -7,6 +7,7 @@
 #define FIREFLYSPAR_PROXY_GATE_SUSPECTS_H_
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -64,6 +65,16 @@
                                  const backend_servers::http_request& request,
                                  const decisions::server_info& server);
 
+  // Records that the request was given up on after it had been sent. The server
+  // may still run it, and end under it soon.
+  void OnGivenUp(const running_request& entered, const call_offer& offer,
+                 const backend_servers::http_request& request,
+                 const decisions::server_info& server);
+
+  // Records that the server has ended: requests that were given up on shortly
+  // before may have caused it.
+  void OnEndFound(const decisions::server_info& server);
+
   // Records that the server answered the request.
   void OnAnswer(const running_request& entered, const call_offer& offer,
                 const backend_servers::http_request& request,
@@ -74,6 +85,11 @@
   // in the same place.
   static constexpr std::size_t kRecentlyWell = 1024;
 
+  struct given_up_request {
+    decisions::suspect_run run;
+    base::steady_instant at;
+  };
+
   struct known_request {
     std::optional<decisions::request_identity> identity;
     const decisions::suspect* known = nullptr;
@@ -84,6 +100,10 @@
   bool HadRunWell(std::uint64_t hash) const {
     return recently_well_[hash % kRecentlyWell] == hash;
   }
+  decisions::suspect_run MakeRun(const running_request& entered,
+                                 const call_offer& offer,
+                                 const backend_servers::http_request& request,
+                                 const decisions::server_info& server) const;
   gate_outcome ToRefusal(decisions::suspect_refusal why,
                          const call_offer& offer,
                          const backend_servers::http_request& request,
@@ -91,6 +111,7 @@
 
   gate_suspects_options options_;
   decisions::trial_admission trials_;
+  std::deque<given_up_request> given_up_;  // The latest ones, oldest first.
   std::array<std::uint64_t, kRecentlyWell> recently_well_{};
 };
 
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -391,12 +391,12 @@
           ? decisions::suspicion::kNone
           : decisions::Judge(*known, servers.front()->server.version, now);
   if (state == decisions::suspicion::kWithheld) return nullptr;
-  const bool is_first_offer = context.refusals == 0;
-  context.is_trial = state == decisions::suspicion::kOnTrial;
-  const bool is_preferred_order =
-      context.is_trial ||
-      (state == decisions::suspicion::kSuspected && is_first_offer);
-  if (!is_preferred_order) return ChooseAmong(context, servers, now);
+  context.is_trial = state != decisions::suspicion::kNone;
+  // One that is only suspected may go anywhere if the first gate is full.
+  const bool may_go_anywhere =
+      state == decisions::suspicion::kNone ||
+      (state == decisions::suspicion::kSuspected && context.full_gates > 0);
+  if (may_go_anywhere) return ChooseAmong(context, servers, now);
   for (const server_entry* each : TrialOrder(*known, servers)) {
     const server_entry* const chosen =
         ChooseAmong(context, std::span(&each, 1), now);
--- a/tests/proxy/crash_fleet.cc
+++ b/tests/proxy/crash_fleet.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <numeric>
 #include <optional>
+#include <stdexcept>
 #include <utility>
 
 #include "proxy/gate_endpoint.h"
@@ -24,6 +25,9 @@
 constexpr milliseconds kObjective{500};
 constexpr int kSlots = 20;
 
+// So many that each request may have a second attempt.
+constexpr double kRetriesPerWindow = 2000;
+
 base::address FreeAddress(net::io_context& loop) {
   const net::ip::tcp::acceptor probe(loop,
                                      {net::ip::address_v4::loopback(), 0});
@@ -86,6 +90,7 @@
                 .local_gate = &local_gate,
                 .directory = &directory,
                 .rollout_states = &rollout_states,
+                .budget = {.retries_per_window = kRetriesPerWindow},
                 .own_service =
                     [service = fleet.ServiceOf(instance)] { return service; }}),
         suspects({.executor = fleet.loop_.get_executor(),
@@ -114,6 +119,13 @@
     routes.SetConfiguration(MakeConfiguration(fleet.options_));
   }
 
+  // Behind a cut, messages are lost.
+  net::awaitable<backend_servers::http_response> Serve(served_call& call) {
+    if (is_cut_off) throw std::runtime_error("cut off");
+    return endpoint.Serve(call);
+  }
+
+  bool is_cut_off = false;
   header_names headers{.request_id = "Request-Id",
                        .deadline_ms = "Deadline-Ms",
                        .caller_service = "Caller-Service",
@@ -189,15 +201,38 @@
   if (Server(instance).IsUp()) OnServerStart(instance);
 }
 
-void crash_fleet::BeginRequest(int instance, const std::string& target,
-                               std::function<void(const caller_answer&)> on_end,
-                               const std::string& body) {
+std::shared_ptr<served_call> crash_fleet::MakeCall(const std::string& target,
+                                                   const std::string& body,
+                                                   const std::string& id) {
   auto call = std::make_shared<served_call>();
   call->cancel = std::make_shared<backend_servers::cancellation>();
   call->request = {http::verb::get, target, 11};
   call->request.set(http::field::host, kHost);
-  call->request.set("Request-Id", std::to_string(++last_id_));
+  call->request.set("Request-Id",
+                    id.empty() ? "id-" + std::to_string(++last_id_) : id);
   call->request.body() = body;
+  return call;
+}
+
+void crash_fleet::SendAndLeave(int instance, const std::string& target,
+                               milliseconds patience) {
+  const auto call = MakeCall(target, "", "");
+  bool has_ended = false;
+  net::co_spawn(
+      loop_,
+      [call, this, instance]() -> net::awaitable<void> {
+        co_await processes_[instance]->routes.Route(*call);
+      },
+      [&has_ended](const std::exception_ptr&) { has_ended = true; });
+  RunFor(patience);
+  call->cancel->Cancel();
+  while (!has_ended) RunFor(milliseconds(1));
+}
+
+void crash_fleet::BeginRequest(int instance, const std::string& target,
+                               std::function<void(const caller_answer&)> on_end,
+                               const std::string& body, const std::string& id) {
+  const auto call = MakeCall(target, body, id);
   process& at = *processes_[instance];
   const auto begun = steady::now();
   const auto run = [call, &at]() -> net::awaitable<caller_answer> {
@@ -206,8 +241,8 @@
         .status = answer.result_int(),
         .retry_after =
             std::string(backend_servers::HeaderOf(answer, "Retry-After")),
-        .not_run = std::string(
-            backend_servers::HeaderOf(answer, "fireflyspar-run-state"))};
+        .not_run =
+            std::string(backend_servers::HeaderOf(answer, "fireflyspar-run"))};
   };
   net::co_spawn(loop_, run,
                 [on_end = std::move(on_end), begun](const std::exception_ptr&,
@@ -219,11 +254,12 @@
 }
 
 caller_answer crash_fleet::Send(int instance, const std::string& target,
-                                const std::string& body) {
+                                const std::string& body,
+                                const std::string& id) {
   std::optional<caller_answer> ended;
   BeginRequest(
       instance, target, [&](const caller_answer& answer) { ended = answer; },
-      body);
+      body, id);
   loop_.restart();
   while (!ended) loop_.run_one();
   return *ended;
@@ -235,6 +271,21 @@
   for (const auto& each : processes_) each->log.Flush();
 }
 
+const decisions::crash_suspects& crash_fleet::Suspects(int instance) const {
+  return processes_[instance]->local_gate.Suspects();
+}
+
+int crash_fleet::InstanceRunning(std::string_view id) const {
+  const auto found = std::ranges::find_if(processes_, [&](const auto& each) {
+    return each->local_gate.IsRunning(id);
+  });
+  return static_cast<int>(found - processes_.begin());
+}
+
+void crash_fleet::SetCutOff(int instance, bool is_cut_off) {
+  processes_[instance]->is_cut_off = is_cut_off;
+}
+
 crash_server& crash_fleet::Server(int instance) { return *servers_[instance]; }
 
 int crash_fleet::ArrivalsOf(std::string_view target) const {
--- a/tests/proxy/crash_fleet.h
+++ b/tests/proxy/crash_fleet.h
@@ -14,7 +14,9 @@
 
 #include "backend_servers/http.h"
 #include "crash_server.h"
+#include "decisions/crash_suspects.h"
 #include "decisions/server_directory.h"
+#include "proxy/listener.h"
 
 namespace fireflyspar::proxy {
 
@@ -41,11 +43,15 @@
   // Begins a GET of the target at an instance; each has an id of its own.
   void BeginRequest(int instance, const std::string& target,
                     std::function<void(const caller_answer&)> on_end,
-                    const std::string& body = "");
+                    const std::string& body = "", const std::string& id = "");
 
   // Sends the request and waits for its answer.
   caller_answer Send(int instance, const std::string& target,
-                     const std::string& body = "");
+                     const std::string& body = "", const std::string& id = "");
+
+  // Begins the request, and its caller leaves after `patience`.
+  void SendAndLeave(int instance, const std::string& target,
+                    std::chrono::milliseconds patience);
 
   void RunFor(std::chrono::milliseconds span);
 
@@ -63,12 +69,25 @@
   // Returns how many servers are up.
   int ServersUp() const;
 
+  // Returns what the instance's process knows of requests that end servers.
+  const decisions::crash_suspects& Suspects(int instance) const;
+
+  // Returns the instance whose server runs the request with this id.
+  int InstanceRunning(std::string_view id) const;
+
+  // Cuts the instance's gate off from all others, or heals that.
+  void SetCutOff(int instance, bool is_cut_off);
+
   // Returns the lines that all processes have written.
   const std::string& Log() const { return log_text_; }
 
  private:
   struct process;
 
+  std::shared_ptr<served_call> MakeCall(const std::string& target,
+                                        const std::string& body,
+                                        const std::string& id);
+
   decisions::server_entry EntryOf(int instance) const;
   std::string ServiceOf(int instance) const;
   void StartProcess(int instance);
