--- a/src/proxy/suspect_json.cc
+++ b/src/proxy/suspect_json.cc
@@ -49,12 +49,12 @@
   bool Flag(const char* key) { return Number(key, 0, 1) != 0; }
 
   const json::array_t& List(const char* key, std::size_t most) {
-    static const json::array_t kNone;
+    static const json::array_t none;
     const json* const found = Find(key);
     const bool fits =
         found != nullptr && found->is_array() && found->size() <= most;
     if (!fits) ok_ = false;
-    return fits ? found->get_ref<const json::array_t&>() : kNone;
+    return fits ? found->get_ref<const json::array_t&>() : none;
   }
 
   std::set<std::string, std::less<>> Names(const char* key, std::size_t most) {
