--- a/tests/decisions/suspect_property_test.cc
+++ b/tests/decisions/suspect_property_test.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "../soak_seeds.h"
 #include "decisions/crash_suspects.h"
 #include "decisions/trial_admission.h"
 
@@ -338,10 +339,9 @@
          !tested.HasRefusedInnocent();
 }
 
-constexpr std::uint64_t kSeeds = 40;
-
 TEST_CASE("what ends servers is withheld, and nothing else, on any seed") {
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  const auto seeds = tests::SoakSeeds({.first = 1, .last = 40});
+  for (std::uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
     CAPTURE(seed);
     CHECK(Holds(seed, mutation::kNone));
   }
--- a/tests/proxy/identify_request_test.cc
+++ b/tests/proxy/identify_request_test.cc
@@ -1,6 +1,7 @@
 #include "proxy/identify_request.h"
 
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <string>
 
 namespace fireflyspar::proxy {
@@ -43,5 +44,27 @@
   CHECK(IdentifyRequest(MakeRequest(), "stock") != known);
 }
 
+// Not a check: prints what it costs. Run it by name on an idle machine.
+TEST_CASE("the cost of telling requests apart", "[.cost]") {
+  constexpr int kRuns = 2000;
+  for (const std::size_t body_bytes : {0, 4096, 360'000}) {
+    auto request = MakeRequest();
+    request.body() = std::string(body_bytes, 'x');
+    const auto time_of = [&](const auto& work) {
+      const auto begun = std::chrono::steady_clock::now();
+      std::uint64_t sum = 0;
+      for (int i = 0; i < kRuns; ++i) sum += work();
+      const auto took = std::chrono::steady_clock::now() - begun;
+      CHECK(sum != 1);
+      return std::chrono::duration<double, std::micro>(took).count() / kRuns;
+    };
+    const double head = time_of([&] { return HeadHash(request, ""); });
+    const double whole =
+        time_of([&] { return IdentifyRequest(request, "").digest.size(); });
+    WARN(body_bytes << " bytes: head " << head << " us, whole " << whole
+                    << " us");
+  }
+}
+
 }  // namespace
 }  // namespace fireflyspar::proxy
--- a/tests/proxy/notice_soak_test.cc
+++ b/tests/proxy/notice_soak_test.cc
@@ -7,13 +7,13 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <cstdlib>
 #include <map>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "../soak_seeds.h"
 #include "notice_server.h"
 #include "proxy/notice_book.h"
 
@@ -201,21 +201,10 @@
   int unfinished_ = 0;
 };
 
-std::pair<std::uint64_t, std::uint64_t> Seeds() {
-  constexpr std::pair<std::uint64_t, std::uint64_t> kInCi{1, 8};
-  const char* const wanted = std::getenv("FIREFLYSPAR_SOAK_SEEDS");
-  if (wanted == nullptr) return kInCi;
-  char* after_first = nullptr;
-  const auto first = std::strtoull(wanted, &after_first, 10);
-  const auto last =
-      *after_first == '-' ? std::strtoull(after_first + 1, nullptr, 10) : first;
-  return {first, last};
-}
-
 // Guards against LIMIT and DRAIN: what a server says in its answers is not
 // kept, or not any more after restarts.
 TEST_CASE("servers' notices hold through restarts and changes") {
-  const auto [first, last] = Seeds();
+  const auto [first, last] = tests::SoakSeeds({.first = 1, .last = 8});
   for (std::uint64_t seed = first; seed <= last; ++seed) {
     CAPTURE(seed);
     notice_soak soak(seed);
