Let no suspect run beside a request on trial

It had been under two servers that ended before it had ever run well, and on its trial the request that ends servers, as yet only suspected, ran beside it.

--- a/src/decisions/crash_suspects.h
+++ b/src/decisions/crash_suspects.h
@@ -8,7 +8,7 @@
 //   level 1  nothing was known: the request is suspected. It may go on; all
 //            routers offer it to the same gate first.
 //   level 2  it was suspected: it is put on trial. It runs at one gate at a
-//            time, and no other request on trial runs beside it there.
+//            time, and no other suspect runs beside it there.
 //   level 3  it was on trial: it is withheld from all servers.
 //
 // Requests in flight at many servers that end at the same moment therefore
@@ -84,7 +84,7 @@
 enum class suspicion {
   kNone,       // It may run anywhere.
   kSuspected,  // It may run anywhere, best at the gate that would try it.
-  kOnTrial,    // It may run at one gate, beside no other request on trial.
+  kOnTrial,    // It may run at one gate, beside no other suspect.
   kWithheld,   // It must not run.
 };
 
--- a/src/decisions/trial_admission.cc
+++ b/src/decisions/trial_admission.cc
@@ -10,17 +10,19 @@
   const bool runs_already = state == suspicion::kOnTrial && on_trial_ == digest;
   if (runs_already) return suspect_refusal::kRunsAlready;
   if (!is_trial) return suspect_refusal::kNotTriedHere;
-  if (state == suspicion::kSuspected) return suspect_refusal::kNone;
-  return on_trial_.empty() ? suspect_refusal::kNone
-                           : suspect_refusal::kOtherOnTrial;
+  const bool is_alone = state == suspicion::kSuspected || suspected_ == 0;
+  return on_trial_.empty() && is_alone ? suspect_refusal::kNone
+                                       : suspect_refusal::kOtherOnTrial;
 }
 
 void trial_admission::Enter(suspicion state, std::string_view digest) {
   if (state == suspicion::kOnTrial) on_trial_ = digest;
+  if (state == suspicion::kSuspected) ++suspected_;
 }
 
 void trial_admission::Leave(suspicion state) {
   if (state == suspicion::kOnTrial) on_trial_.clear();
+  if (state == suspicion::kSuspected) --suspected_;
 }
 
 }  // namespace fireflyspar::decisions
--- a/src/decisions/trial_admission.h
+++ b/src/decisions/trial_admission.h
@@ -1,5 +1,6 @@
 // Lets requests under which servers ended run at one gate: one on trial at a
-// time, so that an end says which request caused it.
+// time and no other suspect beside it, so that an end says which request caused
+// it.
 #ifndef FIREFLYSPAR_DECISIONS_TRIAL_ADMISSION_H_
 #define FIREFLYSPAR_DECISIONS_TRIAL_ADMISSION_H_
 
@@ -15,7 +16,7 @@
   kNone,          // It does not refuse it for that.
   kWithheld,      // It must not run at any server.
   kRunsAlready,   // The same request is on trial at this gate.
-  kOtherOnTrial,  // Another request is on trial at this gate.
+  kOtherOnTrial,  // A trial and another suspect would run side by side here.
   kNotTriedHere,  // It must be offered to the gate that is to try it.
 };
 
@@ -32,6 +33,7 @@
 
  private:
   std::string on_trial_;  // Its digest; empty: none is.
+  int suspected_ = 0;     // Requests running here that are only suspected.
 };
 
 }  // namespace fireflyspar::decisions
