Limit requests to cold servers, and evacuate data centres

A deployment whose settings bound evacuations follows the orders for them in the store and through peers; gates and routers of others hear nothing new. A service with a limit for cold servers has it kept at each gate, also while it is uncertain whether its server is cold: after its end, and after an evacuation.

--- a/src/app/platform_adapter.h
+++ b/src/app/platform_adapter.h
@@ -38,6 +38,7 @@
   std::string configuration_kind;
   std::string configuration_name;
   std::string rollout_kind;
+  std::string evacuation_kind;  // The objects' names are data centres.
   std::string entry_kind;
   std::string withheld_kind;
 };
--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -13,6 +13,7 @@
 #include <iostream>
 
 #include "app/entry_publisher.h"
+#include "app/evacuation_follower.h"
 #include "app/rollout_writer.h"
 #include "app/store_follower.h"
 #include "app/withheld_requests.h"
@@ -83,6 +84,8 @@
   // Returns the hook that reports an unexpected error.
   proxy::unexpected_error_hook OnUnexpectedError();
   proxy::gate_options GateOptions();
+  // Returns what the configuration in force says of cold servers of a service.
+  proxy::cold_start_rules ColdStartRules(std::string_view service) const;
   proxy::router_options RouterOptions();
   proxy::rollouts_options RolloutsOptions();
   store_follower_options FollowerOptions();
@@ -118,6 +121,7 @@
   bool is_shutting_down_ = false;
 
   decisions::server_directory directory_;
+  evacuation_follower evacuations_;
   proxy::gate gate_;
   proxy::rollouts rollouts_;
   proxy::router router_;
@@ -140,6 +144,12 @@
       log_({.write = base::WriteToStandardOutput, .clock = clock_}),
       store_(adapter_.connect_store(executor_, settings_.store, &metrics_,
                                     [this] { follower_.OnStoreRestored(); })),
+      evacuations_({.log = &log_,
+                    .on_change =
+                        [this] {
+                          gate_.SetEvacuated(
+                              evacuations_.IsEvacuated(settings_.data_centre));
+                        }}),
       gate_(GateOptions()),
       rollouts_(RolloutsOptions()),
       router_(RouterOptions()),
@@ -199,23 +209,41 @@
 }
 
 proxy::gate_options proxy_process::GateOptions() {
-  return {.executor = executor_,
-          .headers = adapter_.headers,
-          .clock = clock_,
-          .metrics = &metrics_,
-          .log = &log_,
-          .instance = settings_.instance,
-          .transfers = {.bytes_per_second = settings_.link_bytes_per_second,
-                        .max_held_bytes = BodyMemory()},
-          .held = [this] { return follower_.Held(); },
-          .on_suspect =
-              [this](const decisions::suspect& changed) {
-                suspects_.OnChange(changed);
-              },
-          .on_change =
-              [this](const std::optional<decisions::server_info>& server) {
-                OnServerChange(server);
-              }};
+  return {
+      .executor = executor_,
+      .headers = adapter_.headers,
+      .clock = clock_,
+      .metrics = &metrics_,
+      .log = &log_,
+      .instance = settings_.instance,
+      .transfers = {.bytes_per_second = settings_.link_bytes_per_second,
+                    .max_held_bytes = BodyMemory()},
+      .held = [this] { return follower_.Held(); },
+      .on_suspect =
+          [this](const decisions::suspect& changed) {
+            suspects_.OnChange(changed);
+          },
+      .cold_start_rules_of =
+          [this](std::string_view service) { return ColdStartRules(service); },
+      .on_change =
+          [this](const std::optional<decisions::server_info>& server) {
+            OnServerChange(server);
+          }};
+}
+
+proxy::cold_start_rules proxy_process::ColdStartRules(
+    std::string_view service) const {
+  if (!settings_.has_cold_limits) return {};
+  const auto* known = router_.Configuration();
+  // Until the limit is known, a cold server gets nothing.
+  if (known == nullptr) return {.requests_per_second = 0};
+  const auto found =
+      std::ranges::find(known->services, service, &config::mesh_service::name);
+  const bool is_limited =
+      found != known->services.end() && found->cold_requests_per_second > 0;
+  if (!is_limited) return {};
+  return {.requests_per_second = found->cold_requests_per_second,
+          .health_path = found->health_path};
 }
 
 std::uint64_t proxy_process::BodyMemory() const {
@@ -244,6 +272,10 @@
           .rollout_states = &rollouts_,
           .budget = settings_.repeats,
           .own_service = [this] { return settings_.service; },
+          .is_evacuated =
+              [this](std::string_view data_centre) {
+                return evacuations_.IsEvacuated(data_centre);
+              },
           .on_peer_holds =
               [this](const decisions::server_entry& peer,
                      const proxy::shared_revisions& held) {
@@ -304,6 +336,7 @@
           .rollout_states = &rollouts_,
           .router = &router_,
           .writer = &rollout_writer_,
+          .evacuations = settings_.has_evacuations ? &evacuations_ : nullptr,
           .publisher = &publisher_,
           .on_error = OnUnexpectedError(),
           .on_directory_change = [this] { suspects_.OnDirectoryChange(); },
--- a/src/app/proxy_settings.h
+++ b/src/app/proxy_settings.h
@@ -27,6 +27,10 @@
   // Maximum time from the store's acknowledgement of a configuration until it
   // is in force.
   std::chrono::milliseconds configuration_limit{2000};
+  // Whether operators evacuate data centres, and whether the rate of requests
+  // to cold servers is limited.
+  bool has_evacuations = false;
+  bool has_cold_limits = false;
   decisions::shared_retry_budget_options repeats;
   // Of this instance: the rate of its link and the memory of this process.
   double link_bytes_per_second = 125e6;
--- a/src/app/store_follower.cc
+++ b/src/app/store_follower.cc
@@ -27,6 +27,7 @@
 constexpr double kReaderBatchFraction = 0.25;
 constexpr milliseconds kEntryBatchDelay{1000};
 constexpr milliseconds kRolloutBatchDelay{100};
+constexpr milliseconds kEvacuationBatchDelay{100};
 
 // Mean wait before a probe of the store: in general, and by a process that
 // reads late.
@@ -69,6 +70,10 @@
   entry_watcher_ = watchers_.back().get();
   add(RolloutWatcherOptions());
   rollout_watcher_ = watchers_.back().get();
+  if (options_.evacuations != nullptr) {
+    add(EvacuationWatcherOptions());
+    evacuation_watcher_ = watchers_.back().get();
+  }
 }
 
 void store_follower::Start() {
@@ -133,6 +138,23 @@
   return watched;
 }
 
+proxy::object_watcher_options store_follower::EvacuationWatcherOptions() {
+  auto watched = WatcherOptions(options_.adapter->names.evacuation_kind,
+                                [] { return kEvacuationBatchDelay; });
+  watched.on_list = [this](const proxy::object_list& listed) {
+    options_.evacuations->OnList(listed);
+    ShareEvacuations();
+  };
+  watched.on_change = [this](const proxy::object_change& change) {
+    options_.evacuations->OnChange(change);
+  };
+  watched.on_watched = [this](const base::store_revision& revision) {
+    options_.evacuations->OnWatched(revision);
+    ShareEvacuations();
+  };
+  return watched;
+}
+
 proxy::object_watcher_options store_follower::EntryWatcherOptions() {
   auto watched = WatcherOptions(options_.adapter->names.entry_kind,
                                 [] { return kEntryBatchDelay; });
@@ -193,6 +215,7 @@
                        {"peers", std::to_string(peers.size())}});
   configuration_watcher_->Rewatch();
   rollout_watcher_->Rewatch();
+  if (evacuation_watcher_ != nullptr) evacuation_watcher_->Rewatch();
 }
 
 backend_servers::http_response store_follower::AnswerPeer(
@@ -207,6 +230,10 @@
 // Objects may come from the store, also late, or from peers, in any order.
 void store_follower::Apply(proxy::shared_kind kind,
                            const proxy::stored_object& object) {
+  if (kind == proxy::shared_kind::kEvacuations) {
+    OnPeerEvacuations(object);
+    return;
+  }
   if (!shared_.Put(kind, object)) return;
   if (kind == proxy::shared_kind::kConfiguration) {
     OnConfiguration(object);
@@ -215,6 +242,20 @@
   }
 }
 
+void store_follower::OnPeerEvacuations(const proxy::stored_object& object) {
+  if (options_.evacuations == nullptr) return;
+  if (!options_.evacuations->OnPeer(object)) {
+    Reject("evacuations_rejected", object, "is no list of data centres");
+  }
+  ShareEvacuations();
+}
+
+void store_follower::ShareEvacuations() {
+  const proxy::stored_object shared = options_.evacuations->Shared();
+  if (shared.revision.IsNone()) return;
+  shared_.Put(proxy::shared_kind::kEvacuations, shared);
+}
+
 void store_follower::OnStoreRestored() {
   options_.log->Write(event_priority::kStateChange, "store_restored", {});
   const auto now = steady::now();
--- a/src/app/store_follower.h
+++ b/src/app/store_follower.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "app/entry_publisher.h"
+#include "app/evacuation_follower.h"
 #include "app/platform_adapter.h"
 #include "app/rollout_writer.h"
 #include "base/event_log.h"
@@ -54,6 +55,8 @@
   proxy::rollouts* rollout_states = nullptr;
   proxy::router* router = nullptr;
   rollout_writer* writer = nullptr;
+  // Null in a deployment whose data centres are not evacuated.
+  evacuation_follower* evacuations = nullptr;
   entry_publisher* publisher = nullptr;
   proxy::unexpected_error_hook on_error = [](std::string_view) {};
   // Called when the directory has changed.
@@ -105,6 +108,7 @@
   proxy::object_watcher_options ConfigurationWatcherOptions();
   proxy::object_watcher_options RolloutWatcherOptions();
   proxy::object_watcher_options EntryWatcherOptions();
+  proxy::object_watcher_options EvacuationWatcherOptions();
   proxy::store_watchdog_options WatchdogOptions();
 
   void Apply(proxy::shared_kind kind, const proxy::stored_object& object);
@@ -112,6 +116,9 @@
 
   void OnConfiguration(const proxy::stored_object& object);
   void OnRollout(const proxy::stored_object& object);
+  void OnPeerEvacuations(const proxy::stored_object& object);
+  // Shows peers the evacuations that are known now.
+  void ShareEvacuations();
   void OnEntries(const proxy::object_list& listed);
   void OnEntry(const proxy::object_change& change);
   bool PutEntry(const proxy::stored_object& object);
@@ -129,6 +136,7 @@
   proxy::object_watcher* configuration_watcher_ = nullptr;
   proxy::object_watcher* entry_watcher_ = nullptr;
   proxy::object_watcher* rollout_watcher_ = nullptr;
+  proxy::object_watcher* evacuation_watcher_ = nullptr;  // May stay null.
   proxy::store_watchdog watchdog_;
   proxy::shared_objects shared_;
   proxy::shared_object_puller puller_;
--- a/src/config/mesh_configuration.h
+++ b/src/config/mesh_configuration.h
@@ -45,6 +45,9 @@
   std::string name;
   std::string health_path;
   int max_connections = 0;  // For each of its backend servers.
+  // Requests a second that each of its backend servers takes from all instances
+  // together while it is cold. Zero: no limit.
+  double cold_requests_per_second = 0;
 
   bool operator==(const mesh_service&) const = default;
 };
--- a/src/decisions/gate_choice.cc
+++ b/src/decisions/gate_choice.cc
@@ -28,10 +28,12 @@
 // Under a limit on requests a second it is what the limit allows in the time of
 // one request, `time` in microseconds.
 double UsableSlots(int slots, const gate_report& report, double time) {
-  const double all = std::max(1, slots);
-  if (report.requests_per_second <= 0) return all;
-  return std::min(all,
-                  report.requests_per_second * time / kMicrosecondsPerSecond);
+  double usable = std::max(1, slots);
+  for (const double limit : {report.requests_per_second, report.cold_limit}) {
+    if (limit <= 0) continue;
+    usable = std::min(usable, limit * time / kMicrosecondsPerSecond);
+  }
+  return usable;
 }
 
 // Returns the time in microseconds until a body of this size, sent now, has
--- a/src/decisions/gate_choice.h
+++ b/src/decisions/gate_choice.h
@@ -37,6 +37,8 @@
   std::uint64_t body_backlog = 0;
   // Requests a second that its server takes. Zero: no limit is named.
   double requests_per_second = 0;
+  // The same for a server that is cold.
+  double cold_limit = 0;
 };
 
 struct gate_choice_options {
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -5,6 +5,7 @@
 
 #include "backend_servers/exchange.h"
 #include "backend_servers/listening_check.h"
+#include "proxy/gate_log.h"
 
 namespace fireflyspar::proxy {
 namespace {
@@ -121,7 +122,13 @@
                  .log = options_.log,
                  .instance = options_.instance,
                  .suspects = &known_suspects_,
-                 .on_change = options_.on_suspect}) {}
+                 .on_change = options_.on_suspect}),
+      cold_start_({.executor = options_.executor,
+                   .headers = options_.headers,
+                   .metrics = options_.metrics,
+                   .log = options_.log,
+                   .rules = options_.cold_start_rules_of,
+                   .on_change = [this] { NotifyWaiters(); }}) {}
 
 bool gate::OnHeartbeat(const server_heartbeat& heartbeat) {
   if (server_ && heartbeat.server.start_ms < server_->start_ms) return false;
@@ -134,9 +141,11 @@
     is_misaddressed_ = false;
     measurements_.Restart(heartbeat.cold_left);
     notices_.Restart(heartbeat.server.id);
-    admission_.SetLimit(std::nullopt, now);
+    cold_start_.Restart(heartbeat.server, heartbeat.address,
+                        now + heartbeat.cold_left);
     pool_.CloseIdle(address_);
   }
+  cold_start_.OnReport(now + heartbeat.cold_left);
   sequence_ = heartbeat.sequence;
   address_ = heartbeat.address;
   last_heartbeat_at_ = now;
@@ -213,11 +222,13 @@
 
 void gate::UpdateAdmission() {
   const bool is_open = server_ && !is_closed_ && !is_misaddressed_ &&
+                       !is_evacuated_ &&
                        server_->condition == server_condition::kServing;
   if (is_open) {
     admission_.Open(server_->slots);
   } else {
-    const bool is_draining = is_closed_ || (server_ && !is_misaddressed_);
+    const bool is_draining =
+        is_closed_ || (server_ && !is_misaddressed_ && !is_evacuated_);
     admission_.Close(is_draining ? error_kind::kDraining
                                  : error_kind::kNoServer);
   }
@@ -241,13 +252,25 @@
   NotifyWaiters();
 }
 
+void gate::SetEvacuated(bool is_evacuated) {
+  if (std::exchange(is_evacuated_, is_evacuated) == is_evacuated) return;
+  if (server_ && !is_evacuated_) cold_start_.OnUncertain();
+  UpdateAdmission();
+}
+
 void gate::Close() {
   is_closed_ = true;
   UpdateAdmission();
 }
 
+void gate::ApplyLimit(base::steady_instant now) {
+  const auto named = notices_.Current().requests_per_second;
+  admission_.SetLimit(cold_start_.Limit(named, now), now);
+}
+
 void gate::NotifyWaiters() {
   const auto now = steady::now();
+  ApplyLimit(now);
   waiters_.Notify(admission_.ProcessQueue(now));
   waiters_.Notify(transfers_.ProcessQueue(now));
   ScheduleNextTurn(now);
@@ -271,9 +294,8 @@
 }
 
 void gate::ApplyNotices() {
-  const decisions::server_notices& said = notices_.Current();
-  admission_.SetLimit(said.requests_per_second, steady::now());
-  if (said.is_leaving) OnLeave(server_->id);
+  ApplyLimit(steady::now());
+  if (notices_.Current().is_leaving) OnLeave(server_->id);
 }
 
 net::awaitable<admission_result> gate::WaitForSlot(
@@ -369,7 +391,11 @@
   } else {
     outcome = NotRun(error_kind::kNoServer, "another server stands here");
   }
-  LogOutcome(offer, request, outcome, waited);
+  LogOutcome(*options_.log, *options_.metrics, admission_,
+             {.request_id = HeaderOf(request, options_.headers.request_id),
+              .server_id = server_ ? server_->id : std::string_view(),
+              .waited = waited},
+             offer, outcome);
   co_return outcome;
 }
 
@@ -503,8 +529,7 @@
   gate_outcome answered;
   answered.end = gate_outcome_kind::kAnswered;
   answered.answer = std::move(ended.answer);
-  answered.answer.erase(kOutcomeHeader);
-  answered.answer.erase(kStatusHeader);
+  EraseGateHeaders(answered.answer);
   co_return answered;
 }
 
@@ -538,6 +563,8 @@
   if (is_known()) co_return true;
   ended_server_ = asked;
   if (!IsLeaving(asked)) suspects_.OnEndFound(asked);
+  // It may be back under the same id before its first report comes.
+  cold_start_.OnUncertain();
   options_.metrics->Counter("fireflyspar_server_ends_total")
       .fetch_add(1, std::memory_order_relaxed);
   options_.log->Write(
@@ -574,6 +601,7 @@
     status.version = server_->version;
     const decisions::server_notices& said = notices_.Current();
     status.load.requests_per_second = said.requests_per_second.value_or(0);
+    status.load.cold_limit = cold_start_.ColdLimit(now).value_or(0);
     const bool is_ordinary = said == decisions::server_notices{};
     if (!is_ordinary) {
       status.told = {.server_id = server_->id,
@@ -587,36 +615,4 @@
   return status;
 }
 
-void gate::LogOutcome(const call_offer& offer,
-                      const backend_servers::http_request& request,
-                      const gate_outcome& outcome, base::duration waited) {
-  const bool is_good = outcome.end == gate_outcome_kind::kAnswered;
-  const std::string_view result = is_good
-                                      ? std::string_view("answered")
-                                      : base::ErrorInfoFor(outcome.reason).name;
-  options_.metrics
-      ->Counter("fireflyspar_gate_requests_total",
-                "outcome=\"" + std::string(result) + "\"")
-      .fetch_add(1, std::memory_order_relaxed);
-  const auto priority =
-      is_good ? event_priority::kSuccess : event_priority::kFailure;
-  if (!options_.log->ShouldWrite(priority)) return;
-  options_.log->Write(
-      priority, "gate",
-      {{"id", std::string(HeaderOf(request, options_.headers.request_id))},
-       {"route", offer.route},
-       {"server", server_ ? server_->id : ""},
-       {"outcome", std::string(result)},
-       {"status", is_good ? std::to_string(outcome.answer.result_int()) : ""},
-       {"detail", outcome.detail},
-       {"body_bytes", std::to_string(offer.body_bytes)},
-       {"waited_us", std::to_string(waited.count())},
-       {"took_us",
-        outcome.status ? std::to_string(outcome.status->took.count()) : ""},
-       {"left_us", std::to_string(offer.left.count())},
-       {"wait_limit_us", std::to_string(offer.wait_limit.count())},
-       {"running", std::to_string(admission_.Running())},
-       {"waiting", std::to_string(admission_.Waiting())}});
-}
-
 }  // namespace fireflyspar::proxy
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -24,6 +24,7 @@
 #include "decisions/ranked_admission.h"
 #include "decisions/server_directory.h"
 #include "decisions/transfer_queue.h"
+#include "proxy/gate_cold_start.h"
 #include "proxy/gate_messages.h"
 #include "proxy/gate_notices.h"
 #include "proxy/gate_suspects.h"
@@ -61,6 +62,9 @@
   // changed here.
   std::function<void(const decisions::suspect&)> on_suspect = [](const auto&) {
   };
+  // Returns what holds for cold servers of a service.
+  std::function<cold_start_rules(std::string_view service)>
+      cold_start_rules_of = [](std::string_view) { return cold_start_rules{}; };
   // Called when the published state of the server changes; nullopt when the
   // server is gone.
   std::function<void(const std::optional<decisions::server_info>&)> on_change;
@@ -89,6 +93,9 @@
   // second.
   void Tick();
 
+  // Admits nothing while the data centre is evacuated.
+  void SetEvacuated(bool is_evacuated);
+
   // Stops admitting requests, whatever the server reports.
   void Close();
 
@@ -170,14 +177,14 @@
   void NotifyWaiters();
   void ScheduleNextTurn(base::steady_instant now);
 
+  // Puts into force the limit on requests a second that holds now.
+  void ApplyLimit(base::steady_instant now);
+
   // Takes in what a router was told of the server, perhaps before this process
   // started.
   void OnPeerNotices(const told_notices& told);
   // Puts into force what the server says of itself.
   void ApplyNotices();
-  void LogOutcome(const call_offer& offer,
-                  const backend_servers::http_request& request,
-                  const gate_outcome& outcome, base::duration waited);
   gate_status Status(const std::string& route, base::duration took) const;
   // Returns whether the server here is of the offer's service and version.
   bool Serves(const call_offer& offer) const;
@@ -210,11 +217,13 @@
   // What the store last held of the server here.
   std::optional<decisions::server_info> stored_;
   bool is_closed_ = false;
+  bool is_evacuated_ = false;
   bool is_misaddressed_ = false;  // Another server responds at `address_`.
   server_measurements measurements_;
   gate_notices notices_;
   decisions::crash_suspects known_suspects_;
   gate_suspects suspects_;
+  gate_cold_start cold_start_;
 };
 
 }  // namespace fireflyspar::proxy
--- a/src/proxy/gate_messages.cc
+++ b/src/proxy/gate_messages.cc
@@ -132,6 +132,54 @@
   return static_cast<std::int64_t>(value * kThousand);
 }
 
+// The kinds whose revisions each status holds. That of evacuations has a header
+// of its own, which deployments without them do not send.
+constexpr std::array kKindsInStatus = {shared_kind::kConfiguration,
+                                       shared_kind::kRollouts};
+
+void AddRevision(word_writer& words, const base::store_revision& revision) {
+  words.Add(static_cast<std::int64_t>(revision.era));
+  words.Add(static_cast<std::int64_t>(revision.number));
+}
+
+base::store_revision ReadRevision(word_reader& words) {
+  base::store_revision revision;
+  revision.era = static_cast<std::uint64_t>(words.Number());
+  revision.number = static_cast<std::uint64_t>(words.Number());
+  return revision;
+}
+
+base::store_revision& EvacuationsIn(gate_status& status) {
+  return status.held[static_cast<std::size_t>(shared_kind::kEvacuations)];
+}
+
+// Writes the parts of a status that only some deployments have.
+void WriteOptionalHeaders(gate_status status, http_response& message) {
+  if (!EvacuationsIn(status).IsNone()) {
+    word_writer words;
+    AddRevision(words, EvacuationsIn(status));
+    message.set(kEvacuationsHeader, std::move(words).Text());
+  }
+  if (status.load.cold_limit > 0) {
+    message.set(kColdLimitHeader,
+                std::to_string(ToThousandths(status.load.cold_limit)));
+  }
+}
+
+// Reads what WriteOptionalHeaders wrote. A header that can't be read counts as
+// missing.
+void ReadOptionalHeaders(const http_response& message, gate_status& status) {
+  using backend_servers::HeaderOf;
+  word_reader evacuations(HeaderOf(message, kEvacuationsHeader));
+  const base::store_revision revision = ReadRevision(evacuations);
+  if (evacuations.Ok()) EvacuationsIn(status) = revision;
+  word_reader limit(HeaderOf(message, kColdLimitHeader));
+  const std::int64_t thousandths = limit.Number();
+  if (limit.Ok() && thousandths > 0) {
+    status.load.cold_limit = static_cast<double>(thousandths) / kThousand;
+  }
+}
+
 // Stands for "no limit" where a limit is sent.
 constexpr std::int64_t kNoLimit = -1;
 
@@ -233,9 +281,8 @@
   words.Add(status.took);
   words.Add(static_cast<std::int64_t>(status.load.bytes_per_second));
   words.Add(static_cast<std::int64_t>(status.load.body_backlog));
-  for (const base::store_revision& each : status.held) {
-    words.Add(static_cast<std::int64_t>(each.era));
-    words.Add(static_cast<std::int64_t>(each.number));
+  for (const shared_kind each : kKindsInStatus) {
+    AddRevision(words, status.held[static_cast<std::size_t>(each)]);
   }
   if (status.told) AddNotices(words, *status.told);
   return std::move(words).Text();
@@ -259,10 +306,9 @@
     status.load.bytes_per_second = static_cast<double>(words.Number());
     status.load.body_backlog = static_cast<std::uint64_t>(words.Number());
   }
-  for (base::store_revision& each : status.held) {
+  for (const shared_kind each : kKindsInStatus) {
     if (words.AtEnd()) break;
-    each.era = static_cast<std::uint64_t>(words.Number());
-    each.number = static_cast<std::uint64_t>(words.Number());
+    status.held[static_cast<std::size_t>(each)] = ReadRevision(words);
   }
   status.told = ReadNotices(words);
   if (!words.Ok()) return std::nullopt;
@@ -290,6 +336,13 @@
           .reason = base::error_kind::kCancelled};
 }
 
+void EraseGateHeaders(http_response& message) {
+  for (const char* each : {kOutcomeHeader, kStatusHeader, kSuspectHeader,
+                           kEvacuationsHeader, kColdLimitHeader}) {
+    message.erase(each);
+  }
+}
+
 http_response ToMessage(gate_outcome outcome) {
   http_response message = std::move(outcome.answer);
   if (outcome.end != gate_outcome_kind::kAnswered) {
@@ -300,7 +353,10 @@
   words.Add(base::ErrorInfoFor(outcome.reason).name).Add(outcome.wait);
   words.Add(outcome.refused_by_server);
   message.set(kOutcomeHeader, std::move(words).Text());
-  if (outcome.status) message.set(kStatusHeader, ToText(*outcome.status));
+  if (outcome.status) {
+    message.set(kStatusHeader, ToText(*outcome.status));
+    WriteOptionalHeaders(*outcome.status, message);
+  }
   WriteSuspect(outcome, message);
   return message;
 }
@@ -318,10 +374,9 @@
     return Unknown(base::error_kind::kMalformedMessage,
                    "the gate's answer tells no outcome");
   }
+  if (outcome.status) ReadOptionalHeaders(message, *outcome.status);
   ReadSuspect(message, outcome);
-  message.erase(kOutcomeHeader);
-  message.erase(kStatusHeader);
-  message.erase(kSuspectHeader);
+  EraseGateHeaders(message);
   if (outcome.end == gate_outcome_kind::kAnswered) {
     outcome.answer = std::move(message);
   } else {
--- a/src/proxy/gate_messages.h
+++ b/src/proxy/gate_messages.h
@@ -117,6 +117,12 @@
 inline constexpr char kStatusHeader[] = "fireflyspar-gate";
 inline constexpr char kOutcomeHeader[] = "fireflyspar-outcome";
 inline constexpr char kSuspectHeader[] = "fireflyspar-suspect";
+inline constexpr char kEvacuationsHeader[] = "fireflyspar-evacuations";
+inline constexpr char kColdLimitHeader[] = "fireflyspar-cold-limit";
+
+// Removes the headers between proxies from an answer: a backend server may
+// have sent them as well.
+void EraseGateHeaders(backend_servers::http_response& message);
 
 // Convert an outcome to the HTTP response to another proxy, and back.
 backend_servers::http_response ToMessage(gate_outcome outcome);
--- a/src/proxy/object_watcher.cc
+++ b/src/proxy/object_watcher.cc
@@ -95,6 +95,7 @@
   consecutive_failures_ = 0;
   revision_ = std::max(revision_, watched->revision);
   for (const object_change& each : watched->changes) options_.on_change(each);
+  options_.on_watched(watched->revision);
   const bool has_several_changes = watched->changes.size() > 1;
   if (!watched->changes.empty()) co_await Pause(options_.coalesce_delay());
   if (is_suspended_) co_return false;
--- a/src/proxy/object_watcher.h
+++ b/src/proxy/object_watcher.h
@@ -39,6 +39,10 @@
   // Called with all objects of the kind after each list.
   std::function<void(const object_list&)> on_list;
   std::function<void(const object_change&)> on_change;
+  // Called after the changes that one response told, with the store's revision
+  // at which they were all there were.
+  std::function<void(const base::store_revision&)> on_watched =
+      [](const auto&) {};
 };
 
 class object_watcher {
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -1,13 +1,13 @@
 #include "proxy/router.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <cmath>
 #include <optional>
 #include <utility>
 
 #include "backend_servers/exchange.h"
+#include "proxy/header_values.h"
 #include "proxy/suspect_headers.h"
 #include "proxy/suspect_text.h"
 
@@ -63,17 +63,6 @@
 constexpr unsigned kFirstServerErrorStatus = 500;
 constexpr unsigned kGatewayTimeout = 504;
 
-std::optional<milliseconds> ParseMilliseconds(std::string_view text) {
-  std::int64_t number = 0;
-  const char* const begin = text.data();
-  const char* const end = begin + text.size();
-  const auto parsed = std::from_chars(begin, end, number);
-  if (parsed.ec != std::errc() || parsed.ptr != end || number < 0) {
-    return std::nullopt;
-  }
-  return milliseconds(number);
-}
-
 std::string_view TargetOf(const http_request& request) {
   return backend_servers::ToView(request.target());
 }
@@ -363,6 +352,7 @@
                          return each->server.version == version &&
                                 !context.ran_on.contains(each->instance) &&
                                 !context.refused.contains(each->instance) &&
+                                !options_.is_evacuated(each->data_centre) &&
                                 !notices_.IsLeaving(*each);
                        });
   const auto cut_off =
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -48,6 +48,9 @@
   decisions::shared_retry_budget_options budget;
   // Returns the service of the backend server on this instance.
   std::function<std::string()> own_service;
+  // Returns whether nothing may be sent to the servers of a data centre.
+  std::function<bool(std::string_view data_centre)> is_evacuated =
+      [](std::string_view) { return false; };
   // Called with what another process holds of the shared objects.
   std::function<void(const decisions::server_entry& peer,
                      const shared_revisions& held)>
--- a/src/proxy/shared_objects.cc
+++ b/src/proxy/shared_objects.cc
@@ -13,7 +13,7 @@
 constexpr std::string_view kPathPrefix = "/shared/";
 
 constexpr std::array<std::string_view, kSharedKinds.size()> kKindNames = {
-    "configuration", "rollouts"};
+    "configuration", "rollouts", "evacuations"};
 
 // Head byte of a CBOR array whose length follows in two bytes.
 constexpr char kArrayHead = '\x99';
--- a/src/proxy/shared_objects.h
+++ b/src/proxy/shared_objects.h
@@ -1,8 +1,8 @@
-// The stored objects that proxies pass on to each other: the configuration and
-// the rollout orders. Each answer of a gate names the latest revision that its
-// process holds of each kind. A proxy that holds less asks that process for the
-// objects of the kind. Objects merge by revision, so that late, repeated and
-// crossed messages are harmless.
+// The stored objects that proxies pass on to each other: the configuration, the
+// rollout orders and the set of evacuated data centres. Each answer of a gate
+// names the latest revision that its process holds of each kind. A proxy that
+// holds less asks that process for the objects of the kind. Objects merge by
+// revision, so that late, repeated and crossed messages are harmless.
 #ifndef FIREFLYSPAR_PROXY_SHARED_OBJECTS_H_
 #define FIREFLYSPAR_PROXY_SHARED_OBJECTS_H_
 
@@ -18,10 +18,11 @@
 
 namespace fireflyspar::proxy {
 
-enum class shared_kind { kConfiguration, kRollouts };
+enum class shared_kind { kConfiguration, kRollouts, kEvacuations };
 
 inline constexpr std::array kSharedKinds = {shared_kind::kConfiguration,
-                                            shared_kind::kRollouts};
+                                            shared_kind::kRollouts,
+                                            shared_kind::kEvacuations};
 
 // The latest revision that a process holds of each kind, in the order of
 // kSharedKinds.
--- a/tests/adapter/documents_test.cc
+++ b/tests/adapter/documents_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <limits>
 
 #include "platform/body.h"
 
@@ -21,7 +22,8 @@
           {"routes", json::array({Route()})},
           {"services", json::array({{{"name", "stock"},
                                      {"health_path", "/healthz"},
-                                     {"max_conns", 120}}})},
+                                     {"max_conns", 120},
+                                     {"cold_per_s", 7.25}}})},
           {"limits",
            {{"header_bytes", 16384},
             {"body_bytes", 1000},
@@ -46,6 +48,21 @@
   CHECK(route.objective == std::chrono::milliseconds(500));
   CHECK(route.max_attempts == 2);
   CHECK(decoded->configuration.limits.body_bytes == 1000);
+  REQUIRE(decoded->configuration.services.size() == 1);
+  CHECK(decoded->configuration.services.front().cold_requests_per_second ==
+        7.25);
+}
+
+TEST_CASE("a limit of cold servers that can't be read is none") {
+  json document = Configuration();
+  const json limit = GENERATE(json("7.2"), json(-1), json(1e300), json(true),
+                              json(std::numeric_limits<double>::quiet_NaN()));
+  document["services"][0]["cold_per_s"] = limit;
+  const auto decoded = DecodeConfiguration(document);
+  REQUIRE(decoded);
+  CHECK(decoded->errors.size() == 1);
+  REQUIRE(decoded->configuration.services.size() == 1);
+  CHECK(decoded->configuration.services.front().cold_requests_per_second == 0);
 }
 
 json Table(const json& records) {
--- a/tests/adapter/store_follower_test.cc
+++ b/tests/adapter/store_follower_test.cc
@@ -156,6 +156,7 @@
                                   .random = random,
                                   .kind = kEntryKind,
                                   .instance = kInstance}};
+  app::evacuation_follower evacuations{{.log = &log}};
   app::store_follower follower{{.executor = loop.get_executor(),
                                 .adapter = &adapter,
                                 .store = &hooks,
@@ -170,6 +171,7 @@
                                 .rollout_states = &rollout_states,
                                 .router = &router,
                                 .writer = &writer,
+                                .evacuations = &evacuations,
                                 .publisher = &publisher}};
   std::uint64_t highest_version = 0;
   bool went_back = false;
@@ -240,6 +242,25 @@
   CHECK(f.RunUntil([&] { return f.RolloutState() == "rolled_back"; }));
 }
 
+TEST_CASE("an evacuation is followed from its order to its end") {
+  drill_fixture f(6);
+  const auto is_evacuated = [&] { return f.evacuations.IsEvacuated("east"); };
+  f.store.Put(kEvacuationKind, "east", json::object());
+  CHECK(f.RunUntil(is_evacuated));
+  CHECK_FALSE(f.evacuations.IsEvacuated("west"));
+  f.store.Remove(kEvacuationKind, "east");
+  CHECK(f.RunUntil([&] { return !is_evacuated(); }));
+}
+
+TEST_CASE("an evacuation that the restored store lacks has ended") {
+  drill_fixture f(7);
+  f.store.SaveCopy();
+  f.store.Put(kEvacuationKind, "east", json::object());
+  REQUIRE(f.RunUntil([&] { return f.evacuations.IsEvacuated("east"); }));
+  f.store.RestoreCopy();
+  CHECK(f.RunUntil([&] { return !f.evacuations.IsEvacuated("east"); }));
+}
+
 // Several drills at random moments, with changes in between.
 TEST_CASE("nothing goes back in a series of restores") {
   const unsigned seed = GENERATE(21, 22, 23, 24);
--- a/tests/proxy/messages_test.cc
+++ b/tests/proxy/messages_test.cc
@@ -122,6 +122,35 @@
   CHECK(back.status->load.running == 6);
 }
 
+// Guards against a message that grows where nothing is evacuated or cold.
+TEST_CASE(
+    "evacuations and cold servers have headers only where there are any") {
+  gate_outcome outcome = NotRun(base::error_kind::kShed, "full");
+  outcome.status = gate_status{.server_id = "i-1", .version = "v1"};
+  const auto plain = ToMessage(outcome);
+  CHECK(plain.find(kEvacuationsHeader) == plain.end());
+  CHECK(plain.find(kColdLimitHeader) == plain.end());
+  constexpr auto kIndex = static_cast<std::size_t>(shared_kind::kEvacuations);
+  outcome.status->held[kIndex] = {.number = 70, .era = 2};
+  outcome.status->load.cold_limit = 7.25;
+  const gate_outcome back = FromMessage(ToMessage(outcome));
+  REQUIRE(back.status);
+  CHECK(back.status->held == outcome.status->held);
+  CHECK(back.status->load.cold_limit == 7.25);
+}
+
+TEST_CASE("an optional header that can't be read counts as missing") {
+  gate_outcome outcome = NotRun(base::error_kind::kShed, "full");
+  outcome.status = gate_status{.server_id = "i-1", .version = "v1"};
+  auto message = ToMessage(outcome);
+  message.set(kEvacuationsHeader, "1");
+  message.set(kColdLimitHeader, "-4");
+  const gate_outcome back = FromMessage(std::move(message));
+  REQUIRE(back.status);
+  CHECK(back.status->held == shared_revisions{});
+  CHECK(back.status->load.cold_limit == 0);
+}
+
 TEST_CASE("a message without an outcome header means an unknown outcome") {
   backend_servers::http_response message;
   message.result(503);
--- a/tests/proxy/notice_server.cc
+++ b/tests/proxy/notice_server.cc
@@ -14,6 +14,7 @@
 namespace http = backend_servers::http;
 
 constexpr milliseconds kWork{5};
+constexpr char kHealthPath[] = "/healthz";
 
 base::address FreeAddress(net::io_context& loop) {
   const net::ip::tcp::acceptor probe(loop,
@@ -46,27 +47,49 @@
       address_(FreeAddress(loop_)),
       log_({.write = [](std::string_view bytes) { return bytes.size(); },
             .clock = base::SystemClock()}) {
+  Listen();
+  RestartGate();
+}
+
+void notice_server::Listen() {
   server_.emplace(
       loop_.get_executor(),
       listener_options{.address = address_,
                        .handler = [this](auto& call) { return Serve(call); }});
   REQUIRE(server_->Start());
-  RestartGate();
+}
+
+void notice_server::EndServer() {
+  server_->Close();
+  RunFor(milliseconds(20));
+}
+
+void notice_server::StartUnreported() {
+  ++start_ms_;
+  Listen();
 }
 
 void notice_server::RestartGate(bool is_store_up) {
   if (!gates_.empty()) gates_.back()->Close();
-  gates_.push_back(std::make_unique<gate>(
-      gate_options{.executor = loop_.get_executor(),
-                   .headers = {.request_id = "Request-Id",
-                               .request_limit = "Server-Limit",
-                               .is_leaving = "Server-Leaving"},
-                   .clock = base::SystemClock(),
-                   .metrics = &metrics_,
-                   .log = &log_,
-                   .on_change = [this](const auto& server) {
-                     if (server) stored_ = server;
-                   }}));
+  gates_.push_back(std::make_unique<gate>(gate_options{
+      .executor = loop_.get_executor(),
+      .headers = {.request_id = "Request-Id",
+                  .request_limit = "Server-Limit",
+                  .is_leaving = "Server-Leaving",
+                  .server_id = "Instance-Id",
+                  .cold_ms = "Cold-Ms"},
+      .clock = base::SystemClock(),
+      .metrics = &metrics_,
+      .log = &log_,
+      .cold_start_rules_of =
+          [this](std::string_view) {
+            return cold_start_rules{.requests_per_second = cold_.limit,
+                                    .health_path = kHealthPath};
+          },
+      .on_change =
+          [this](const auto& server) {
+            if (server) stored_ = server;
+          }}));
   if (is_store_up && stored_) gates_.back()->OnStored(*stored_);
   Report();
 }
@@ -77,12 +100,21 @@
 }
 
 void notice_server::Report() {
-  gates_.back()->OnHeartbeat(
-      {.server = Info(), .address = address_, .sequence = ++reports_});
+  gates_.back()->OnHeartbeat({.server = Info(),
+                              .address = address_,
+                              .sequence = ++reports_,
+                              .cold_left = cold_.cold_left});
 }
 
 net::awaitable<backend_servers::http_response> notice_server::Serve(
     served_call& call) {
+  if (call.request.target() == kHealthPath) {
+    backend_servers::http_response health(http::status::ok, 11);
+    health.set("Instance-Id", Info().id);
+    if (!said_.cold_ms.empty()) health.set("Cold-Ms", said_.cold_ms);
+    health.prepare_payload();
+    co_return health;
+  }
   arrivals_.push_back({.at = steady::now(),
                        .request_id = std::string(backend_servers::HeaderOf(
                            call.request, "Request-Id")),
--- a/tests/proxy/notice_server.h
+++ b/tests/proxy/notice_server.h
@@ -20,6 +20,14 @@
 struct notice_texts {
   std::string limit;
   std::string leaving;
+  // Of its health path.
+  std::string cold_ms;
+};
+
+// What the configuration and the server's reports say of its cold times.
+struct cold_server {
+  std::optional<double> limit;  // Requests a second.
+  std::chrono::milliseconds cold_left{0};
 };
 
 class notice_server {
@@ -77,12 +85,26 @@
   // Delivers a report that says that the server is ready.
   void Report();
 
+  // Changes the cold times of all later reports.
+  void SetCold(cold_server cold) { cold_ = cold; }
+
+  // Ends the server: nothing listens at its address until RestartServer.
+  void EndServer();
+
+  // Starts the server again under its id without a report.
+  void StartUnreported();
+
+  gate& Gate() { return *gates_.back(); }
+
  private:
   net::awaitable<backend_servers::http_response> Serve(served_call& call);
   net::awaitable<gate_outcome> OfferOne(call_offer offer,
                                         std::string request_id);
 
+  void Listen();
+
   notice_texts said_;
+  cold_server cold_;
   net::io_context loop_;
   base::address address_;
   std::vector<arrival> arrivals_;
