--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -272,6 +272,7 @@
           .rollout_states = &rollouts_,
           .budget = settings_.repeats,
           .own_service = [this] { return settings_.service; },
+          .is_configuration_fresh = [this] { return follower_.IsInTouch(); },
           .is_evacuated =
               [this](std::string_view data_centre) {
                 return evacuations_.IsEvacuated(data_centre);
--- a/src/app/store_follower.h
+++ b/src/app/store_follower.h
@@ -86,6 +86,9 @@
     puller_.OnPeerHolds(peer.gate, held, Held());
   }
 
+  // Returns whether the store serves this process, as far as it knows.
+  bool IsInTouch() const { return watchdog_.IsAvailable(); }
+
   // Returns whether this process waits for each change at the store.
   bool ReadsAtOnce() const { return reading_ != reading::kLate; }
 
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -14,6 +14,7 @@
 constexpr std::array kErrorTable = {
     error_info{kBadRequest, "bad_request", 400, seconds{0}, kNotRun, 2},
     error_info{kNoSuchRoute, "no_such_route", 404, seconds{0}, kNotRun, 1},
+    error_info{kUnknownKey, "unknown_key", 401, seconds{0}, kNotRun, 1},
     error_info{kCallerOverLimit, "caller_over_limit", 429, seconds{1}, kNotRun,
                1},
     error_info{kServiceOverLimit, "service_over_limit", 429, seconds{1},
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -15,6 +15,7 @@
 enum class error_kind {
   kBadRequest = 1,          // The caller's request is malformed.
   kNoSuchRoute,             // No matching route is visible to the caller.
+  kUnknownKey,              // No organisation has the request's key.
   kCallerOverLimit,         // The caller exceeded its own limit.
   kServiceOverLimit,        // The service's limit is exceeded.
   kNoServer,                // No usable backend server for the chosen service.
--- a/src/config/mesh_configuration.h
+++ b/src/config/mesh_configuration.h
@@ -8,11 +8,13 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
 
 #include "base/result.h"
+#include "config/organisation.h"
 
 namespace fireflyspar::config {
 
@@ -34,6 +36,8 @@
   std::chrono::milliseconds objective{0};  // Target latency for callers.
   int priority = 0;                        // 0 is the highest.
   int max_attempts = 1;  // Maximum backend servers reached by a request.
+  // Whether its requests need no key, in a configuration with organisations.
+  bool is_public = false;
   // Empty if nobody knows where the route's requests may run; they are refused
   // as not run.
   std::vector<weighted_service> targets;
@@ -67,6 +71,8 @@
   std::vector<mesh_route> routes;
   std::vector<mesh_service> services;
   request_limits limits;
+  // Nothing: requests carry no keys.
+  std::optional<std::vector<organisation>> organisations;
 };
 
 using mesh_configuration_ptr = std::shared_ptr<const mesh_configuration>;
--- a/src/proxy/gate_suspects.cc
+++ b/src/proxy/gate_suspects.cc
@@ -26,14 +26,8 @@
 constexpr std::chrono::milliseconds kGivenUpMemory{2000};
 constexpr std::size_t kMaxGivenUp = 32;
 
-// The service whose server makes the request; empty for a request of a client.
-std::string_view CallingService(const call_offer& offer) {
-  return offer.is_nested_call ? std::string_view(offer.caller_service)
-                              : std::string_view();
-}
-
-std::uint64_t QuickHash(const call_offer& offer, const http_request& request) {
-  const std::uint64_t head = HeadHash(request, CallingService(offer));
+std::uint64_t QuickHash(const http_request& request, std::string_view caller) {
+  const std::uint64_t head = HeadHash(request, caller);
   if (request.body().empty()) return head;
   const std::string_view body = request.body();
   return head ^ base::FastHash(body.substr(0, kHashedBodyBytes)) ^ body.size();
@@ -41,12 +35,18 @@
 
 }  // namespace
 
+std::string_view gate_suspects::CallerOf(const call_offer& offer,
+                                         const http_request& request) const {
+  return proxy::CallerOf(request, offer.is_nested_call, offer.caller_service,
+                         options_.headers);
+}
+
 gate_suspects::known_request gate_suspects::Find(
     const call_offer& offer, const http_request& request) const {
   if (options_.suspects->IsEmpty()) return {};
-  const std::string_view calling = CallingService(offer);
-  if (!options_.suspects->MayKnow(HeadHash(request, calling))) return {};
-  known_request found{.identity = IdentifyRequest(request, calling)};
+  const std::string_view caller = CallerOf(offer, request);
+  if (!options_.suspects->MayKnow(HeadHash(request, caller))) return {};
+  known_request found{.identity = IdentifyRequest(request, caller)};
   found.known = options_.suspects->Find(offer.service, *found.identity);
   return found;
 }
@@ -103,15 +103,16 @@
 decisions::suspect_run gate_suspects::MakeRun(
     const running_request& entered, const call_offer& offer,
     const http_request& request, const decisions::server_info& server) const {
-  return {.service = offer.service,
-          .version = offer.version,
-          .identity = entered.identity
-                          ? *entered.identity
-                          : IdentifyRequest(request, CallingService(offer)),
-          .admission = entered.admission,
-          .server = {server.id, server.start_ms},
-          .instance = options_.instance,
-          .had_run_well = HadRunWell(QuickHash(offer, request))};
+  return {
+      .service = offer.service,
+      .version = offer.version,
+      .identity = entered.identity
+                      ? *entered.identity
+                      : IdentifyRequest(request, CallerOf(offer, request)),
+      .admission = entered.admission,
+      .server = {server.id, server.start_ms},
+      .instance = options_.instance,
+      .had_run_well = HadRunWell(QuickHash(request, CallerOf(offer, request)))};
 }
 
 suspect gate_suspects::OnServerEnd(const running_request& entered,
@@ -158,7 +159,7 @@
                              const call_offer& offer,
                              const http_request& request,
                              const decisions::server_info& server) {
-  const std::uint64_t hash = QuickHash(offer, request);
+  const std::uint64_t hash = QuickHash(request, CallerOf(offer, request));
   recently_well_[hash % kRecentlyWell] = hash;
   // Another copy of the request may have been let in before the end.
   const known_request found = Find(offer, request);
--- a/src/proxy/gate_suspects.h
+++ b/src/proxy/gate_suspects.h
@@ -95,6 +95,8 @@
     const decisions::suspect* known = nullptr;
   };
 
+  std::string_view CallerOf(const call_offer& offer,
+                            const backend_servers::http_request& request) const;
   known_request Find(const call_offer& offer,
                      const backend_servers::http_request& request) const;
   bool HadRunWell(std::uint64_t hash) const {
--- a/src/proxy/header_names.h
+++ b/src/proxy/header_names.h
@@ -27,6 +27,8 @@
   std::string request_limit = "fireflyspar-request-limit";
   // In a backend server's responses: marks a server that is leaving.
   std::string is_leaving = "fireflyspar-leaving";
+  // To backend servers: the organisation that the request comes from.
+  std::string organisation = "fireflyspar-organisation";
   // In the answers of a backend server's health path: its id, and how long it
   // stays cold, in whole milliseconds.
   std::string server_id = "fireflyspar-server-id";
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -6,17 +6,14 @@
 #include <optional>
 #include <utility>
 
-#include "backend_servers/exchange.h"
 #include "proxy/header_values.h"
+#include "proxy/identify_request.h"
 #include "proxy/suspect_headers.h"
 #include "proxy/suspect_text.h"
 
 namespace fireflyspar::proxy {
 namespace {
 
-using backend_servers::exchange_options;
-using backend_servers::exchange_outcome;
-using backend_servers::exchange_result;
 using backend_servers::HeaderOf;
 using backend_servers::http_request;
 using backend_servers::http_response;
@@ -39,15 +36,6 @@
 // be reached.
 constexpr int kMaxOffersPerAttempt = 8;
 
-constexpr milliseconds kConnectTimeout{150};
-constexpr milliseconds kDeadPeerTimeout{700};
-
-// How long after the wait limit a gate's grant of a slot is still awaited.
-constexpr milliseconds kGrantTimeout{400};
-
-// How long after the deadline another proxy's response is still awaited.
-constexpr milliseconds kAnswerGrace{120};
-
 // How long a gate that reports itself closed is avoided, unless it gives a
 // longer time.
 constexpr milliseconds kClosedAvoidance{250};
@@ -89,35 +77,16 @@
   http_request& borrower_;
 };
 
-gate_outcome FromExchange(exchange_result ended) {
-  if (ended.end == exchange_outcome::kAnswered) {
-    return FromMessage(std::move(ended.answer));
-  }
-  if (ended.end == exchange_outcome::kCancelled) {
-    return Cancelled();
-  }
-  if (!ended.sent) {
-    gate_outcome lost =
-        NotRun(error_kind::kPeerUnavailable, std::move(ended.detail));
-    lost.is_unreachable = true;
-    return lost;
-  }
-  const bool is_late = ended.end == exchange_outcome::kTimedOut;
-  gate_outcome lost =
-      Unknown(is_late ? error_kind::kDeadlinePassed : error_kind::kServerFailed,
-              std::move(ended.detail));
-  lost.is_unreachable = !is_late;
-  return lost;
-}
-
 }  // namespace
 
 router::router(router_options options)
     : options_(std::move(options)),
-      pool_(options_.executor),
+      gates_(options_.executor),
       answers_({.headers = options_.headers,
                 .metrics = options_.metrics,
                 .log = options_.log}),
+      access_({.headers = options_.headers,
+               .is_configuration_fresh = options_.is_configuration_fresh}),
       budget_(options_.budget, steady::now()),
       reachability_({.executor = options_.executor,
                      .random = options_.random,
@@ -130,6 +99,7 @@
 
 void router::SetConfiguration(config::mesh_configuration_ptr next) {
   routes_ = std::make_shared<const decisions::route_index>(std::move(next));
+  access_.SetConfiguration(routes_->Configuration());
 }
 
 void router::OnDirectoryChange() {
@@ -167,6 +137,18 @@
     co_return answers_.Refuse(call.request, error_kind::kNotReady,
                               "the route can't be read", Version());
   }
+  context.is_nested_call = IsNestedCall(context.request_id);
+  const access_result access =
+      access_.Check(call.request, *context.route, context.is_nested_call);
+  if (access.refusal) {
+    co_return answers_.Refuse(call.request, *access.refusal,
+                              "the key is of no organisation", Version());
+  }
+  context.priority =
+      access.organisation == nullptr
+          ? context.route->priority
+          : decisions::CombinedPriority(access.organisation->priority,
+                                        context.route->priority);
   context.service = target_selector_.Next(*context.route);
   const auto requested_timeout =
       ParseMilliseconds(HeaderOf(call.request, options_.headers.deadline_ms));
@@ -180,7 +162,6 @@
                                                            *requested_timeout)
                         : base::duration(0);
   context.objective = context.begun + context.route->objective - spent;
-  context.is_nested_call = IsNestedCall(context.request_id);
   if (is_draining_ && !context.is_nested_call) {
     co_return answers_.Refuse(call.request, error_kind::kDraining,
                               "this proxy is ending", Version());
@@ -242,9 +223,11 @@
 
 const decisions::suspect* router::FindSuspectOf(
     request_context& context) const {
-  const std::string calling =
-      context.is_nested_call ? options_.own_service() : std::string();
-  return FindSuspect(options_.local_gate->Suspects(), context.service, calling,
+  const std::string own_service = options_.own_service();
+  const std::string_view caller =
+      CallerOf(context.call->request, context.is_nested_call, own_service,
+               options_.headers);
+  return FindSuspect(options_.local_gate->Suspects(), context.service, caller,
                      context.call->request, context.identity);
 }
 
@@ -430,7 +413,7 @@
       .caller_service = options_.own_service(),
       .is_idempotent = context.route->is_idempotent,
       .is_nested_call = context.is_nested_call,
-      .priority = context.route->priority,
+      .priority = context.priority,
       .wait_limit = WaitLimit(context, may_wait),
       .left = left(context.deadline),
       .time_to_objective = left(context.objective),
@@ -449,7 +432,8 @@
       outcome = co_await options_.local_gate->Run(offer, request, nullptr,
                                                   *context.call->cancel);
     } else {
-      outcome = co_await OfferToRemote(context, entry, offer, request);
+      outcome = co_await gates_.Offer(entry.gate, offer, request,
+                                      context.deadline, *context.call->cancel);
     }
   }
   choice_.OnEnd(entry.instance);
@@ -467,31 +451,6 @@
       static_cast<double>(TypicalDuration(context).count()) * kFirstWaitLimit));
 }
 
-net::awaitable<gate_outcome> router::OfferToRemote(request_context& context,
-                                                   const server_entry& to,
-                                                   const call_offer& offer,
-                                                   http_request& request) {
-  request.set(kOfferHeader, ToText(offer));
-  WriteSuspect(offer, request);
-  request.keep_alive(true);
-  exchange_options options;
-  options.to = to.gate;
-  options.deadline = context.deadline + kAnswerGrace;
-  options.connect_timeout = kConnectTimeout;
-  options.dead_peer_timeout = kDeadPeerTimeout;
-  const bool must_be_granted =
-      !offer.is_idempotent || offer.body_bytes >= kLargeBodyBytes;
-  options.body_after_continue = must_be_granted && !request.body().empty();
-  if (offer.wait_limit < offer.left) {
-    options.continue_timeout =
-        std::chrono::ceil<milliseconds>(offer.wait_limit) + kGrantTimeout;
-  }
-  exchange_result ended = co_await backend_servers::Exchange(
-      pool_, options, request, *context.call->cancel);
-  gate_outcome outcome = FromExchange(std::move(ended));
-  co_return outcome;
-}
-
 void router::RecordOutcome(const request_context& context,
                            const server_entry& to,
                            const gate_outcome& outcome) {
@@ -501,7 +460,7 @@
     options_.local_gate->Suspects().Merge(*outcome.suspect, now);
   }
   if (outcome.is_unreachable) {
-    pool_.CloseIdle(to.gate);
+    gates_.CloseIdle(to.gate);
     choice_.OnUnreachable(to.instance);
     reachability_.OnUnreachable(to, now);
     return;
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -15,7 +15,6 @@
 #include <string>
 #include <vector>
 
-#include "backend_servers/connection_pool.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "decisions/elapsed_time_estimator.h"
@@ -25,10 +24,12 @@
 #include "decisions/shared_retry_budget.h"
 #include "proxy/caller_answers.h"
 #include "proxy/gate.h"
+#include "proxy/gate_client.h"
 #include "proxy/gate_reachability.h"
 #include "proxy/header_names.h"
 #include "proxy/listener.h"
 #include "proxy/notice_book.h"
+#include "proxy/organisation_access.h"
 #include "proxy/rollouts.h"
 #include "proxy/router_suspects.h"
 
@@ -48,6 +49,8 @@
   decisions::shared_retry_budget_options budget;
   // Returns the service of the backend server on this instance.
   std::function<std::string()> own_service;
+  // See organisation_access_options.
+  std::function<bool()> is_configuration_fresh = [] { return true; };
   // Returns whether nothing may be sent to the servers of a data centre.
   std::function<bool(std::string_view data_centre)> is_evacuated =
       [](std::string_view) { return false; };
@@ -101,6 +104,7 @@
     base::steady_instant deadline;
     base::steady_instant objective;  // A response after this is late.
     bool is_nested_call = false;
+    int priority = 0;  // Of the organisation, if any, and of the route.
     // Instances that may have run the request.
     std::set<std::string, std::less<>> ran_on;
     // Instances that must not be offered the request again in this attempt.
@@ -122,9 +126,6 @@
   net::awaitable<gate_outcome> Offer(request_context& context,
                                      decisions::server_entry entry,
                                      bool may_wait);
-  net::awaitable<gate_outcome> OfferToRemote(
-      request_context& context, const decisions::server_entry& to,
-      const call_offer& offer, backend_servers::http_request& request);
   base::duration WaitLimit(const request_context& context, bool may_wait) const;
   std::vector<const decisions::server_entry*> UsableServers(
       const request_context& context, std::string_view version,
@@ -156,9 +157,10 @@
   router_options options_;
   bool is_draining_ = false;
   base::steady_instant end_ = base::steady_instant::max();
-  backend_servers::connection_pool pool_;
+  gate_client gates_;
   std::shared_ptr<const decisions::route_index> routes_;
   caller_answers answers_;
+  organisation_access access_;
   decisions::weighted_target_selector target_selector_;
   decisions::gate_choice choice_;
   decisions::shared_retry_budget budget_;
--- a/src/proxy/router_suspects.cc
+++ b/src/proxy/router_suspects.cc
@@ -12,17 +12,16 @@
 using decisions::suspect;
 
 const suspect* FindSuspect(const decisions::crash_suspects& suspects,
-                           std::string_view service,
-                           std::string_view calling_service,
+                           std::string_view service, std::string_view caller,
                            const backend_servers::http_request& request,
                            routed_identity& identity) {
   if (suspects.IsEmpty()) return nullptr;
   if (!identity.head_hash) {
-    identity.head_hash = HeadHash(request, calling_service);
+    identity.head_hash = HeadHash(request, caller);
   }
   if (!suspects.MayKnow(*identity.head_hash)) return nullptr;
   if (!identity.whole) {
-    identity.whole = IdentifyRequest(request, calling_service);
+    identity.whole = IdentifyRequest(request, caller);
   }
   return suspects.Find(service, *identity.whole);
 }
--- a/src/proxy/router_suspects.h
+++ b/src/proxy/router_suspects.h
@@ -27,8 +27,8 @@
 // next change of `suspects`.
 const decisions::suspect* FindSuspect(
     const decisions::crash_suspects& suspects, std::string_view service,
-    std::string_view calling_service,
-    const backend_servers::http_request& request, routed_identity& identity);
+    std::string_view caller, const backend_servers::http_request& request,
+    routed_identity& identity);
 
 using server_list = std::vector<const decisions::server_entry*>;
 
