--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -124,6 +124,7 @@
   evacuation_follower evacuations_;
   proxy::gate gate_;
   proxy::rollouts rollouts_;
+  proxy::quota_exchange quota_;
   proxy::router router_;
   rollout_writer rollout_writer_;
   entry_publisher publisher_;
@@ -152,6 +153,14 @@
                         }}),
       gate_(GateOptions()),
       rollouts_(RolloutsOptions()),
+      quota_({.executor = executor_,
+              .instance = settings_.instance,
+              .data_centre = settings_.data_centre,
+              .limits = settings_.quotas,
+              .is_first_start = settings_.is_first_start,
+              .directory = &directory_,
+              .log = &log_,
+              .metrics = &metrics_}),
       router_(RouterOptions()),
       rollout_writer_(
           {.executor = executor_,
@@ -191,6 +200,10 @@
                           [this](const http_request& request) {
                             return suspects_.Serve(request);
                           },
+                      .quota =
+                          [this](const http_request& request) {
+                            return quota_.Serve(request);
+                          },
                       .shared_objects =
                           [this](proxy::shared_kind kind) {
                             return follower_.AnswerPeer(kind);
@@ -270,6 +283,7 @@
           .local_gate = &gate_,
           .directory = &directory_,
           .rollout_states = &rollouts_,
+          .quota = &quota_,
           .budget = settings_.repeats,
           .own_service = [this] { return settings_.service; },
           .is_configuration_fresh = [this] { return follower_.IsInTouch(); },
@@ -340,7 +354,11 @@
           .evacuations = settings_.has_evacuations ? &evacuations_ : nullptr,
           .publisher = &publisher_,
           .on_error = OnUnexpectedError(),
-          .on_directory_change = [this] { suspects_.OnDirectoryChange(); },
+          .on_directory_change =
+              [this] {
+                suspects_.OnDirectoryChange();
+                quota_.OnDirectoryChange();
+              },
           .on_own_server =
               [this](const decisions::server_info& stored) {
                 gate_.OnStored(stored);
@@ -452,6 +470,7 @@
     log_.Flush();
     follower_.Tick();
     suspects_.Tick();
+    quota_.Tick();
     if (ticks % kTicksPerSecond != 0) continue;
     if (adapter_.settings_stamp() != settings_stamp_) {
       Reload("the settings changed");
@@ -503,7 +522,10 @@
   const auto& server = gate_.Server();
   const bool should_withdraw =
       !server || server->condition == decisions::server_condition::kDraining;
-  if (should_withdraw) co_await publisher_.Withdraw();
+  if (should_withdraw) {
+    quota_.OnLeave();
+    co_await publisher_.Withdraw();
+  }
   const auto serve_time_left = std::chrono::duration_cast<base::duration>(
       shutdown_start + kServeAfterSignal - steady::now());
   co_await Pause(serve_time_left);
--- a/src/app/proxy_settings.h
+++ b/src/app/proxy_settings.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/address.h"
+#include "decisions/quota_granter.h"
 #include "decisions/shared_retry_budget.h"
 
 namespace fireflyspar::app {
@@ -27,6 +28,9 @@
   // Maximum time from the store's acknowledgement of a configuration until it
   // is in force.
   std::chrono::milliseconds configuration_limit{2000};
+  // Whether the whole system starts for the first time.
+  bool is_first_start = false;
+  decisions::quota_granter_options quotas;
   // Whether operators evacuate data centres, and whether the rate of requests
   // to cold servers is limited.
   bool has_evacuations = false;
--- a/src/proxy/caller_answers.cc
+++ b/src/proxy/caller_answers.cc
@@ -84,11 +84,14 @@
 
 http_response caller_answers::Refuse(const http_request& request,
                                      error_kind reason, std::string_view detail,
-                                     std::uint64_t version) {
+                                     std::uint64_t version,
+                                     base::duration wait) {
   http_response answer = backend_servers::MakeRefusal(reason, detail);
   const std::string_view id = HeaderOf(request, options_.headers.request_id);
   answer.set(options_.headers.request_id, backend_servers::ToBeast(id));
-  if (reason == error_kind::kNotReady) {
+  if (wait.count() > 0) {
+    SetRetryAfter(answer, std::max<base::duration>(wait, kMinRetryAfter));
+  } else if (reason == error_kind::kNotReady) {
     SetRetryAfter(answer, kNoServerRetryAfter);
   } else if (reason == error_kind::kDraining) {
     SetRetryAfter(answer, kMinRetryAfter);
--- a/src/proxy/caller_answers.h
+++ b/src/proxy/caller_answers.h
@@ -52,10 +52,11 @@
                                         gate_outcome outcome);
 
   // Refuses a request that was not offered to any gate. `version` is that of
-  // the configuration in force; 0 if there is none.
+  // the configuration in force; 0 if there is none. `wait` is the time after
+  // which the caller may find room, if it is known.
   backend_servers::http_response Refuse(
       const backend_servers::http_request& request, base::error_kind reason,
-      std::string_view detail, std::uint64_t version);
+      std::string_view detail, std::uint64_t version, base::duration wait = {});
 
  private:
   void CountAnswer(std::string_view result);
--- a/src/proxy/gate_endpoint.cc
+++ b/src/proxy/gate_endpoint.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "proxy/quota_exchange.h"
 #include "proxy/suspect_exchange.h"
 #include "proxy/suspect_headers.h"
 
@@ -15,6 +16,9 @@
   const auto shared =
       ParseSharedPath(backend_servers::ToView(call.request.target()));
   if (shared) co_return options_.shared_objects(*shared);
+  if (backend_servers::ToView(call.request.target()) == kQuotaPath) {
+    co_return options_.quota(call.request);
+  }
   if (backend_servers::ToView(call.request.target()) == kSuspectsPath) {
     if (call.read_body && !co_await call.read_body()) {
       co_return ToMessage(Cancelled());
--- a/src/proxy/gate_endpoint.h
+++ b/src/proxy/gate_endpoint.h
@@ -17,6 +17,10 @@
   std::function<backend_servers::http_response(
       const backend_servers::http_request&)>
       suspects;
+  // Answers a process that asks for tokens of an organisation's limit.
+  std::function<backend_servers::http_response(
+      const backend_servers::http_request&)>
+      quota;
   // Answers a process that asks for the objects of a kind.
   std::function<backend_servers::http_response(shared_kind)> shared_objects;
 };
--- a/src/proxy/gate_messages.h
+++ b/src/proxy/gate_messages.h
@@ -1,8 +1,7 @@
 // The metadata that a router and a gate exchange with a request and its
-// response, and its encoding as HTTP headers between two proxies. A header's
-// value is a list of words separated by spaces; "-" stands for an empty word,
-// and a byte that could not stand in a word is written as "%" and its two hex
-// digits. Words that a peer of an older version does not send have defaults.
+// response, and its encoding as HTTP headers between two proxies
+// (proxy/header_words.h). Words that a peer of an older version does not send
+// have defaults.
 #ifndef FIREFLYSPAR_PROXY_GATE_MESSAGES_H_
 #define FIREFLYSPAR_PROXY_GATE_MESSAGES_H_
 
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -166,15 +166,43 @@
     co_return answers_.Refuse(call.request, error_kind::kDraining,
                               "this proxy is ending", Version());
   }
+  const quota_result quota = co_await TakeQuota(context, access.organisation);
+  if (quota.made != quota_result::decision::kAdmitted) {
+    co_return RefuseOverLimit(call.request, quota);
+  }
   backend_servers::DropConnectionHeaders(call.request.base());
   call.request.erase(http::field::expect);
   call.request.erase(kSuspectHeader);
   call.request.prepare_payload();
   gate_outcome outcome = co_await RunWithRetries(context);
+  if (quota.token_expires && outcome.end == gate_outcome_kind::kNotRun) {
+    options_.quota->PutBack(*access.organisation, quota);
+  }
   http_response answer = answers_.Answer(ReportOf(context), std::move(outcome));
   co_return answer;
 }
 
+net::awaitable<quota_result> router::TakeQuota(
+    const request_context& context, const config::organisation* organisation) {
+  const bool may_be_limited =
+      organisation != nullptr && options_.quota != nullptr;
+  if (!may_be_limited) co_return quota_result{};
+  quota_result taken = co_await options_.quota->Admit(
+      *organisation, context.routes->Configuration().version);
+  co_return taken;
+}
+
+http_response router::RefuseOverLimit(const http_request& request,
+                                      const quota_result& quota) {
+  const bool is_known = quota.made == quota_result::decision::kOverLimit;
+  std::string detail(is_known ? "over the limit of "
+                              : "nobody can tell the use of the limit of ");
+  detail.append(HeaderOf(request, options_.headers.organisation));
+  return answers_.Refuse(
+      request, is_known ? error_kind::kCallerOverLimit : error_kind::kNotReady,
+      detail, Version(), quota.wait);
+}
+
 std::uint64_t router::Version() const {
   return routes_ ? routes_->Configuration().version : 0;
 }
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -30,6 +30,7 @@
 #include "proxy/listener.h"
 #include "proxy/notice_book.h"
 #include "proxy/organisation_access.h"
+#include "proxy/quota_exchange.h"
 #include "proxy/rollouts.h"
 #include "proxy/router_suspects.h"
 
@@ -46,6 +47,7 @@
   gate* local_gate = nullptr;
   const decisions::server_directory* directory = nullptr;
   rollouts* rollout_states = nullptr;
+  quota_exchange* quota = nullptr;  // Null: organisations have no limits.
   decisions::shared_retry_budget_options budget;
   // Returns the service of the backend server on this instance.
   std::function<std::string()> own_service;
@@ -119,6 +121,11 @@
   };
 
   bool IsNestedCall(std::string_view request_id) const;
+  // Takes a token of the limit of the organisation, if there is one.
+  net::awaitable<quota_result> TakeQuota(
+      const request_context& context, const config::organisation* organisation);
+  backend_servers::http_response RefuseOverLimit(
+      const backend_servers::http_request& request, const quota_result& quota);
   net::awaitable<gate_outcome> RunWithRetries(request_context& context);
   net::awaitable<gate_outcome> OfferUntilAdmitted(request_context& context);
   // Offers the request; its body is lent to the message that is sent, so that
