--- a/tests/adapter/documents_test.cc
+++ b/tests/adapter/documents_test.cc
@@ -53,6 +53,59 @@
         7.25);
 }
 
+TEST_CASE("organisations are read with their keys and limits") {
+  json document = Configuration();
+  document["tenants"] =
+      json::array({{{"name", "bureau"},
+                    {"api_keys", {"k1", "k2"}},
+                    {"priority", 1},
+                    {"rate_per_s", 12.5},
+                    {"burst", 30}},
+                   {{"name", "press"}, {"api_keys", json::array()}}});
+  document["routes"][0]["public"] = true;
+  const auto decoded = DecodeConfiguration(document);
+  REQUIRE(decoded);
+  CHECK(decoded->errors.empty());
+  CHECK(decoded->configuration.routes.front().is_public);
+  REQUIRE(decoded->configuration.organisations);
+  const auto& organisations = *decoded->configuration.organisations;
+  REQUIRE(organisations.size() == 2);
+  CHECK(organisations[0].keys == std::vector<std::string>{"k1", "k2"});
+  CHECK(organisations[0].priority == 1);
+  CHECK(organisations[0].limit.requests_per_second == 12.5);
+  CHECK(organisations[0].limit.burst == 30);
+  CHECK(organisations[1].keys.empty());
+  CHECK_FALSE(organisations[1].limit.IsLimited());
+}
+
+TEST_CASE("a configuration without organisations needs no keys") {
+  const auto decoded = DecodeConfiguration(Configuration());
+  REQUIRE(decoded);
+  CHECK_FALSE(decoded->configuration.organisations);
+}
+
+// Guards against a key in the log: errors show the values that can't be read.
+TEST_CASE("an organisation that can't be read costs itself, and shows no key") {
+  json document = Configuration();
+  const json keys = GENERATE(json("secret"), json::array({"secret", 7}),
+                             json::array({""}), json({{"k", "secret"}}));
+  document["tenants"] =
+      json::array({{{"name", "bureau"}, {"api_keys", keys}},
+                   {{"name", "press"}, {"api_keys", {"k3"}}},
+                   {{"name", "shop"}, {"api_keys", {"k3"}}},
+                   {{"name", 7}, {"api_keys", {"k4"}}},
+                   {{"name", "desk"}, {"api_keys", {"k5"}}, {"burst", -1}}});
+  const auto decoded = DecodeConfiguration(document);
+  REQUIRE(decoded);
+  CHECK(decoded->errors.size() == 4);
+  for (const std::string& each : decoded->errors) {
+    CHECK(each.find("secret") == std::string::npos);
+    CHECK(each.find("k3") == std::string::npos);
+  }
+  REQUIRE(decoded->configuration.organisations);
+  CHECK(decoded->configuration.organisations->size() == 4);
+}
+
 TEST_CASE("a limit of cold servers that can't be read is none") {
   json document = Configuration();
   const json limit = GENERATE(json("7.2"), json(-1), json(1e300), json(true),
