--- a/src/proxy/quota_exchange.cc
+++ b/src/proxy/quota_exchange.cc
@@ -105,7 +105,7 @@
     const auto held = pool_.Take(name, steady::now());
     if (held) {
       Count(name, "admitted");
-      co_return quota_result{.token_expires = *held};
+      co_return quota_result{.token_expires = held};
     }
     if (pool_.NoGrantUntil(name, *owner) > steady::now()) {
       ++owner;
--- a/tests/proxy/quota_exchange_test.cc
+++ b/tests/proxy/quota_exchange_test.cc
@@ -66,7 +66,7 @@
     std::optional<quota_result> ended;
     net::co_spawn(loop, east->Admit(limited, 1),
                   [&](const std::exception_ptr&, quota_result result) {
-                    ended = std::move(result);
+                    ended = result;
                   });
     loop.restart();
     while (!ended) loop.run_one();
