--- a/tests/decisions/quota_property_test.cc
+++ b/tests/decisions/quota_property_test.cc
@@ -304,8 +304,9 @@
       case 3:
         // All are killed, several times in a row.
         if (random_() % 4 != 0) break;
-        for (int i = 0; i < 4; ++i)
+        for (int i = 0; i < 4; ++i) {
           herd_kills_.push_back(now_ + i * seconds(1));
+        }
         break;
       case 4:
         // One in each data centre, at the same moment.
