Stop asking a server that is gone whether it is cold

The gate went on asking its address every 200 ms, also when another server had come to it. The test failed before: the questions never ended.

--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -245,6 +245,7 @@
       left_[server_->id] = server_->start_ms;
     }
     server_.reset();
+    cold_start_.OnGone();
     options_.on_change(server_);
     UpdateAdmission();
   }
--- a/src/proxy/gate_cold_start.h
+++ b/src/proxy/gate_cold_start.h
@@ -56,6 +56,10 @@
   // asks it until it tells.
   void OnUncertain();
 
+  // Must be called when the server is considered gone: it is asked no more, as
+  // another server may come to its address.
+  void OnGone() { state_.Restart({}); }
+
   // Returns the limit for a server that is cold now, in requests a second;
   // nothing if it is not cold, or not limited then.
   std::optional<double> ColdLimit(base::steady_instant now) const;
--- a/tests/proxy/gate_test.cc
+++ b/tests/proxy/gate_test.cc
@@ -66,6 +66,11 @@
                .metrics = &metrics,
                .log = &log,
                .heartbeat_timeout = kHeartbeatTimeout,
+               .cold_start_rules_of =
+                   [](std::string_view) {
+                     return cold_start_rules{.requests_per_second = 7,
+                                             .health_path = "/healthz"};
+                   },
                .on_change =
                    [this](const auto& server) {
                      ++changes;
@@ -137,6 +142,23 @@
   CHECK(fixture.Offer().reason == base::error_kind::kDraining);
 }
 
+// Guards against questions without end to whichever server comes to the address
+// of one that is gone.
+TEST_CASE("a server that is gone is not asked whether it is cold") {
+  gate_fixture fixture;
+  fixture.tested.OnHeartbeat({.server = Server(server_condition::kServing),
+                              .address = kServerAddress,
+                              .sequence = 1});
+  fixture.tested.SetEvacuated(true);
+  fixture.tested.SetEvacuated(false);
+  fixture.loop.run_for(milliseconds(50));
+  REQUIRE_FALSE(fixture.loop.stopped());
+  std::this_thread::sleep_for(2 * kHeartbeatTimeout);
+  fixture.tested.Tick();
+  fixture.loop.run_for(std::chrono::seconds(2));
+  CHECK(fixture.loop.stopped());
+}
+
 // Guards against a server that left being used again: its notice came to the
 // process before a restart, and a late report to the one after it.
 TEST_CASE("a restarted process learns from the store that a server left") {
