Refuse late requests while others can still be on time

Cause: a request that was late already was queued until its deadline, behind those that could be on time. Under a lasting overload newcomers overtake it until it is refused at last: held, and refused anyway.

Change: such a request is refused at once, with the wait, while a request that can be on time is waiting.

--- a/src/decisions/ranked_admission.cc
+++ b/src/decisions/ranked_admission.cc
@@ -58,6 +58,12 @@
   return rate_.WaitBehind(0, now);
 }
 
+bool ranked_admission::HasTimelyWaiting() const {
+  return std::ranges::any_of(queue_, [](const admission_request& each) {
+    return !each.is_nested_call && !each.is_late;
+  });
+}
+
 base::duration ranked_admission::ExpectedWait(const admission_request& request,
                                               base::steady_instant now) const {
   const auto ahead = std::distance(queue_.begin(), queue_.lower_bound(request));
@@ -110,7 +116,9 @@
   const admission_request waiting = ToQueued(request, now);
   const base::duration wait = waiting.expected_wait;
   if (wait > request.wait_limit) return Refuse(base::error_kind::kShed, wait);
-  if (now + wait > LatestStart(waiting, now)) {
+  const bool yields =
+      waiting.is_late && !waiting.is_nested_call && HasTimelyWaiting();
+  if (yields || now + wait > LatestStart(waiting, now)) {
     return Refuse(base::error_kind::kShed, wait);
   }
   return {.choice = admission_choice::kWait, .wait = wait};
--- a/src/decisions/ranked_admission.h
+++ b/src/decisions/ranked_admission.h
@@ -8,12 +8,15 @@
 // of more urgent routes, then those that arrived first. A request that cannot
 // be served in time is refused at once, with an estimate of when a slot will be
 // free: under overload every slot then runs a request that is still on time.
+// One that is late already is refused while others that can be on time are
+// waiting: as long as they keep coming it would wait until its deadline in
+// vain.
 //
-// A lasting overload fills the queue up to the longest wait that is accepted, so
-// that all requests wait that long. If that wait left just the typical time at
-// the server, every request that takes longer would end late. Most of the spread
-// of that time is therefore kept free, which costs no throughput: a short queue
-// keeps the slots as busy as a long one.
+// A lasting overload fills the queue up to the longest wait that is accepted,
+// so that all requests wait that long. If that wait left just the typical time
+// at the server, every request that takes longer would end late. Most of the
+// spread of that time is therefore kept free, which costs no throughput: a
+// short queue keeps the slots as busy as a long one.
 #ifndef FIREFLYSPAR_DECISIONS_RANKED_ADMISSION_H_
 #define FIREFLYSPAR_DECISIONS_RANKED_ADMISSION_H_
 
@@ -128,6 +131,8 @@
   // Returns the request with the fields that are set when it is queued.
   admission_request ToQueued(const admission_request& request,
                              base::steady_instant now) const;
+  // Returns whether a request that can be on time is waiting.
+  bool HasTimelyWaiting() const;
   base::duration ExpectedWait(const admission_request& request,
                               base::steady_instant now) const;
   bool CanStart(base::steady_instant now) const {
--- a/tests/decisions/ranked_admission_test.cc
+++ b/tests/decisions/ranked_admission_test.cc
@@ -160,6 +160,7 @@
   int on_time = 0;
   int late = 0;
   int wasted = 0;  // Ended past the deadline.
+  int held = 0;    // Refused after they were queued.
   // Longest time in the queue before a refusal.
   milliseconds longest_refused_wait{0};
 };
@@ -170,7 +171,8 @@
   // Times at the server, by turns; 100 ms in the mean.
   std::vector<milliseconds> times{milliseconds(100)};
   milliseconds duration_margin{0};
-  int returns = 0;  // How often a refused caller comes back, 100 ms later.
+  int returns = 0;  // How often a refused caller comes back.
+  milliseconds return_after{100};
 };
 
 // Simulates a gate under new callers for 20 s.
@@ -198,8 +200,9 @@
     result.longest_refused_wait =
         std::max(result.longest_refused_wait,
                  std::chrono::duration_cast<milliseconds>(now - refused.came));
+    if (now > refused.came) ++result.held;
     if (refused.returns++ == options.returns) return;
-    refused.came = now + milliseconds(100);
+    refused.came = now + options.return_after;
     arrivals.emplace(refused.came, refused);
   };
   const auto process_queue = [&](base::steady_instant now) {
@@ -267,6 +270,32 @@
   }
 }
 
+// Guards against callers that are held until their deadline and then refused:
+// under an overload that lasts they come back late, and every slot goes to
+// others that can still be on time.
+TEST_CASE("under a lasting overload callers that come back are not held") {
+  for (const int per_second : {90, 120, 240}) {
+    const load_result result = Load({.per_second = per_second,
+                                     .returns = 2,
+                                     .return_after = milliseconds(450)});
+    CAPTURE(per_second, result.on_time, result.late, result.held);
+    CHECK(result.on_time >= 1140);  // The capacity is 1,200.
+    CHECK(result.longest_refused_wait == milliseconds(0));
+  }
+}
+
+TEST_CASE("a late request waits only while no other can be on time") {
+  ranked_admission gate = Full(1);
+  const auto late = [](std::uint64_t ticket) {
+    return Request({.ticket = ticket, .objective = milliseconds(-50)});
+  };
+  CHECK(gate.Enter(late(1), kStart).choice == admission_choice::kWait);
+  gate.Enter(Request({.ticket = 2}), kStart);
+  CHECK(gate.Enter(late(3), kStart).choice == admission_choice::kRefuse);
+  CHECK(DequeueOrder(gate, 1) == std::vector<std::uint64_t>{2});
+  CHECK(gate.Enter(late(4), kStart).choice == admission_choice::kWait);
+}
+
 // Guards against servers that are never given a queue, since a request may take
 // longer than its objective allows.
 TEST_CASE("half of the spare time is left for the queue") {
