--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -29,9 +29,6 @@
 // later gates the request waits for as long as it has time.
 constexpr double kFirstWaitLimit = 0.3;
 
-// A request is refused after this many offers to gates that were full.
-constexpr int kMaxFullGates = 5;
-
 // Maximum number of offers in one attempt, including those to gates that can't
 // be reached.
 constexpr int kMaxOffersPerAttempt = 8;
@@ -214,8 +211,8 @@
           .is_nested_call = context.is_nested_call,
           .begun = context.begun,
           .ran_on = &context.ran_on,
-          .refusals = context.refusals,
-          .least_wait = context.least_wait,
+          .refusals = context.offers.Refusals(),
+          .least_wait = context.offers.LeastWait(),
           .version = context.routes->Configuration().version};
 }
 
@@ -233,9 +230,7 @@
   budget_.OnFirstAttempt(context.service, steady::now());
   gate_outcome outcome;
   for (;;) {
-    context.refused.clear();
-    context.refusals = 0;
-    context.full_gates = 0;
+    context.offers = {};
     gate_outcome next = co_await OfferUntilAdmitted(context);
     const bool is_retry = context.runs > 0;
     if (is_retry && next.end == gate_outcome_kind::kNotRun) {
@@ -313,38 +308,36 @@
     if (IsWithheld(context, version)) co_return RefuseWithheld(context);
     const server_entry* to = ChooseGate(context, version);
     if (to == nullptr) break;
-    const bool may_wait = context.full_gates > 0;
     const std::string instance = to->instance;
-    gate_outcome outcome = co_await Offer(context, *to, may_wait);
+    gate_outcome outcome = co_await Offer(context, *to);
     if (outcome.end != gate_outcome_kind::kNotRun) {
       context.ran_on.insert(instance);
       co_return outcome;
     }
-    ++context.refusals;
     const bool must_stop =
         outcome.refusal == decisions::suspect_refusal::kWithheld ||
         outcome.refusal == decisions::suspect_refusal::kRunsAlready;
-    if (must_stop) co_return outcome;
+    if (must_stop) {
+      context.offers.OnPassedOver();
+      co_return outcome;
+    }
     if (outcome.refusal == decisions::suspect_refusal::kNotTriedHere) {
+      context.offers.OnPassedOver();
       last = std::move(outcome);
       continue;
     }
     const bool is_full = outcome.reason == error_kind::kShed;
-    // A gate that was full for a short wait may still be the best for a longer
-    // one.
-    if (!is_full || may_wait) context.refused.insert(instance);
     if (is_full) {
-      ++context.full_gates;
-      context.least_wait = context.least_wait.count() == 0
-                               ? outcome.wait
-                               : std::min(context.least_wait, outcome.wait);
+      context.offers.OnFull(instance, outcome.wait);
+    } else {
+      context.offers.OnRefused(instance);
     }
     last = std::move(outcome);
     if (!is_full) last.wait = kNoServerRetryAfter;
     if (last.refused_by_server) {
       // The server counts the next offer as a retry of this one.
       if (!budget_.TryTake(context.service, steady::now())) break;
-    } else if (context.full_gates >= kMaxFullGates) {
+    } else if (context.offers.IsExhausted()) {
       break;
     }
   }
@@ -362,7 +355,7 @@
                        [&](const server_entry* each) {
                          return each->server.version == version &&
                                 !context.ran_on.contains(each->instance) &&
-                                !context.refused.contains(each->instance) &&
+                                !context.offers.IsRefusedBy(each->instance) &&
                                 !options_.is_evacuated(each->data_centre) &&
                                 !notices_.IsLeaving(*each);
                        });
@@ -394,9 +387,9 @@
   if (state == decisions::suspicion::kWithheld) return nullptr;
   context.is_trial = state != decisions::suspicion::kNone;
   // One that is only suspected may go anywhere if the first gate is full.
-  const bool may_go_anywhere =
-      state == decisions::suspicion::kNone ||
-      (state == decisions::suspicion::kSuspected && context.full_gates > 0);
+  const bool may_go_anywhere = state == decisions::suspicion::kNone ||
+                               (state == decisions::suspicion::kSuspected &&
+                                context.offers.HasFoundFullGate());
   if (may_go_anywhere) return ChooseAmong(context, servers, now);
   for (const server_entry* each : TrialOrder(*known, servers)) {
     const server_entry* const chosen =
@@ -428,7 +421,7 @@
 // Takes a copy of the entry because the directory may change while the offer is
 // in progress.
 net::awaitable<gate_outcome> router::Offer(request_context& context,
-                                           server_entry entry, bool may_wait) {
+                                           server_entry entry) {
   const auto now = steady::now();
   const auto left = [now](base::steady_instant until) {
     return std::chrono::duration_cast<base::duration>(until - now);
@@ -442,7 +435,7 @@
       .is_idempotent = context.route->is_idempotent,
       .is_nested_call = context.is_nested_call,
       .priority = context.priority,
-      .wait_limit = WaitLimit(context, may_wait),
+      .wait_limit = WaitLimit(context),
       .left = left(context.deadline),
       .time_to_objective = left(context.objective),
       .typical_duration = TypicalDuration(context),
@@ -469,9 +462,8 @@
   co_return outcome;
 }
 
-base::duration router::WaitLimit(const request_context& context,
-                                 bool may_wait) const {
-  if (may_wait) {
+base::duration router::WaitLimit(const request_context& context) const {
+  if (context.offers.MayWait()) {
     return std::chrono::duration_cast<base::duration>(context.deadline -
                                                       context.begun);
   }
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -17,6 +17,7 @@
 
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "decisions/attempt_offers.h"
 #include "decisions/elapsed_time_estimator.h"
 #include "decisions/gate_choice.h"
 #include "decisions/route_index.h"
@@ -109,13 +110,8 @@
     int priority = 0;  // Of the organisation, if any, and of the route.
     // Instances that may have run the request.
     std::set<std::string, std::less<>> ran_on;
-    // Instances that must not be offered the request again in this attempt.
-    std::set<std::string, std::less<>> refused;
-    int refusals = 0;  // Offers in this attempt that ended as "not run".
-    // The shortest wait that a full gate estimated; zero: none.
-    base::duration least_wait{};
-    int full_gates = 0;  // Offers in this attempt to gates that were full.
-    int runs = 0;        // Attempts so far that may have run.
+    decisions::attempt_offers offers;  // Of the current attempt.
+    int runs = 0;                      // Attempts so far that may have run.
     routed_identity identity;
     bool is_trial = false;  // Whether the gate chosen last is to try it.
   };
@@ -131,9 +127,8 @@
   // Offers the request; its body is lent to the message that is sent, so that
   // it is in memory once.
   net::awaitable<gate_outcome> Offer(request_context& context,
-                                     decisions::server_entry entry,
-                                     bool may_wait);
-  base::duration WaitLimit(const request_context& context, bool may_wait) const;
+                                     decisions::server_entry entry);
+  base::duration WaitLimit(const request_context& context) const;
   std::vector<const decisions::server_entry*> UsableServers(
       const request_context& context, std::string_view version,
       base::steady_instant now) const;
