Ask for a long wait at once where no gate is expected to be free

Cause: with all slots of a service taken each try cost three offers: one for a short wait, which full gates refuse, then one for a long wait at each of two gates.

Change: the choice tells whether any of the gates that it compared is expected to have a free slot; if none is, the first offer accepts a long wait.

Tried and reverted: a router that remembers for up to 250 ms which gates have refused late requests, and doesn't offer them these.

--- a/src/decisions/attempt_offers.h
+++ b/src/decisions/attempt_offers.h
@@ -2,9 +2,11 @@
 // admits it: which gates must not be asked again, how long the next one may
 // keep the request waiting, and when to give up.
 //
-// At first only a short wait is accepted, since another gate may have a free
-// slot. Once a gate has been found full a long wait is accepted. A gate that
-// was full for a short wait may still be the best for a long one.
+// Only a short wait is accepted while another gate may have a free slot. Once a
+// gate has been found full, or if no gate is expected to have one, a long wait
+// is accepted: under a lasting overload offers that ask for a short wait would
+// only use the time of the proxies. A gate that was full for a short wait may
+// still be the best for a long one.
 #ifndef FIREFLYSPAR_DECISIONS_ATTEMPT_OFFERS_H_
 #define FIREFLYSPAR_DECISIONS_ATTEMPT_OFFERS_H_
 
@@ -19,9 +21,14 @@
 
 class attempt_offers {
  public:
+  // Records whether any gate is expected to have a free slot now.
+  void OnChoice(bool is_any_expected_free) {
+    is_any_expected_free_ = is_any_expected_free;
+  }
+
   // Returns whether the next offer may wait for as long as the request has
   // time.
-  bool MayWait() const { return full_gates_ > 0; }
+  bool MayWait() const { return full_gates_ > 0 || !is_any_expected_free_; }
 
   // Records that the gate was full and expects a slot to be free after `wait`.
   void OnFull(std::string_view gate, base::duration wait);
@@ -48,6 +55,7 @@
 
  private:
   std::set<std::string, std::less<>> refused_by_;
+  bool is_any_expected_free_ = true;
   int refusals_ = 0;
   int full_gates_ = 0;
   base::duration least_wait_{};
--- a/src/decisions/gate_choice.cc
+++ b/src/decisions/gate_choice.cc
@@ -96,6 +96,7 @@
   comparison made{.candidates = candidates, .request = request, .now = now};
   Compare(made, near_ones, options_.compared_near, random);
   Compare(made, far, options_.compared_near + options_.compared_far, random);
+  if (made.best) made.best->is_any_expected_free = made.is_any_free;
   return made.best;
 }
 
@@ -116,7 +117,10 @@
   const auto found = gates_.find(candidate.instance);
   const gate_state* known = found == gates_.end() ? nullptr : &found->second;
   const estimate made = Estimate(candidate, known, search.request, search.now);
-  if (made.cost < kClosedCost) ++search.compared;
+  if (made.cost < kClosedCost) {
+    ++search.compared;
+    search.is_any_free = search.is_any_free || made.is_free;
+  }
   const double cost =
       made.cost * (1 + options_.jitter * base::ToUnitInterval(random()));
   if (search.best && cost >= search.lowest_cost) return;
--- a/src/decisions/gate_choice.h
+++ b/src/decisions/gate_choice.h
@@ -71,6 +71,8 @@
 struct chosen_gate {
   std::size_t index = 0;
   bool is_expected_free = true;  // Whether a slot is expected to be free.
+  // The same for any of the gates that were compared.
+  bool is_any_expected_free = true;
 };
 
 class gate_choice {
@@ -133,6 +135,7 @@
     std::optional<chosen_gate> best;
     double lowest_cost = 0;  // Cost of `best`.
     int compared = 0;        // Without gates that are passed over.
+    bool is_any_free = false;
   };
 
   estimate Estimate(const gate_candidate& candidate, const gate_state* known,
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -24,9 +24,9 @@
 using steady = std::chrono::steady_clock;
 namespace http = backend_servers::http;
 
-// The longest wait at a gate until one has been found full, as a multiple of
-// the typical time at a server: a short wait costs less than another offer. At
-// later gates the request waits for as long as it has time.
+// The longest wait at a gate while another one may have a free slot, as a
+// multiple of the typical time at a server: a short wait costs less than
+// another offer.
 constexpr double kFirstWaitLimit = 0.3;
 
 // Maximum number of offers in one attempt, including those to gates that can't
@@ -287,9 +287,8 @@
   return budget_.TryTake(context.service, now);
 }
 
-// Offers the request to one gate after another until one admits it. At first it
-// accepts only a short wait; once a gate was full, it accepts a long one at the
-// gate where the wait is expected to be shortest.
+// Offers the request to one gate after another until one admits it, each time
+// to the one where the wait is expected to be shortest.
 net::awaitable<gate_outcome> router::OfferUntilAdmitted(
     request_context& context) {
   gate_outcome last = NotRun(error_kind::kNoServer, "no server is known");
@@ -400,8 +399,8 @@
 }
 
 const server_entry* router::ChooseAmong(
-    const request_context& context,
-    std::span<const server_entry* const> servers, base::steady_instant now) {
+    request_context& context, std::span<const server_entry* const> servers,
+    base::steady_instant now) {
   std::vector<gate_candidate> candidates(servers.size());
   std::ranges::transform(
       servers, candidates.begin(), [this](const server_entry* each) {
@@ -415,7 +414,9 @@
       .typical_duration = TypicalDuration(context),
       .body_bytes = body_bytes >= kLargeBodyBytes ? body_bytes : 0};
   const auto chosen = choice_.Choose(candidates, wanted, options_.random, now);
-  return chosen ? servers[chosen->index] : nullptr;
+  if (!chosen) return nullptr;
+  context.offers.OnChoice(chosen->is_any_expected_free);
+  return servers[chosen->index];
 }
 
 // Takes a copy of the entry because the directory may change while the offer is
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -139,7 +139,7 @@
   bool IsWithheld(request_context& context, std::string_view version) const;
   gate_outcome RefuseWithheld(request_context& context) const;
   const decisions::server_entry* ChooseAmong(
-      const request_context& context,
+      request_context& context,
       std::span<const decisions::server_entry* const> servers,
       base::steady_instant now);
 
--- a/tests/decisions/attempt_offers_test.cc
+++ b/tests/decisions/attempt_offers_test.cc
@@ -35,6 +35,16 @@
   CHECK(offers.Refusals() == 3);
 }
 
+// Guards against an overload in which each request asks a full gate for a short
+// wait first: the offers took the processors of the proxies.
+TEST_CASE("a long wait is accepted at once if no gate is expected to be free") {
+  attempt_offers offers;
+  offers.OnChoice(false);
+  CHECK(offers.MayWait());
+  offers.OnFull("a", milliseconds(40));
+  CHECK(offers.IsRefusedBy("a"));
+}
+
 // Guards against callers that are held while gate after gate is full.
 TEST_CASE("a request is not offered to more than five full gates") {
   attempt_offers offers;
--- a/tests/decisions/gate_choice_test.cc
+++ b/tests/decisions/gate_choice_test.cc
@@ -52,6 +52,21 @@
   CHECK_FALSE(chosen.is_expected_free);
 }
 
+// Guards against a fast server that is chosen though it is full, while the
+// others are not: its gate must not keep the request waiting for long.
+TEST_CASE("the choice tells whether another gate is expected to be free") {
+  gate_choice choice;
+  choice.OnReport("a", {.running = 6, .waiting = 1, .latency_ratio = 0.2},
+                  kNow);
+  choice.OnReport("b", {.running = 3, .latency_ratio = 3}, kNow);
+  chosen_gate chosen = ChooseFrom(choice, kTwoNear);
+  CHECK(chosen.index == 0);
+  CHECK_FALSE(chosen.is_expected_free);
+  CHECK(chosen.is_any_expected_free);
+  choice.OnReport("b", {.running = 6, .waiting = 1, .latency_ratio = 3}, kNow);
+  CHECK_FALSE(ChooseFrom(choice, kTwoNear).is_any_expected_free);
+}
+
 TEST_CASE("a reported load counts less with age") {
   gate_choice choice;
   choice.OnReport("a", {.running = 6, .waiting = 9, .slots = 6}, kNow);
