Forget with time how much longer requests wait than expected

Cause: the expected wait is multiplied by up to 20 after waits that were too long, and only a request that waits lowers the factor again. Once it was so large that no request was queued it stayed, until the process ended.

Change: what the factor exceeds 1 by halves with every 250 ms without a wait.

--- a/src/decisions/ranked_admission.cc
+++ b/src/decisions/ranked_admission.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace fireflyspar::decisions {
 namespace {
@@ -14,6 +15,9 @@
 constexpr double kWaitInflationWeight = 0.1;
 constexpr double kMaxWaitInflation = 20;
 
+// Half-life of what that ratio exceeds 1 by while no request has waited.
+constexpr std::chrono::milliseconds kInflationHalfLife{250};
+
 // The largest share of the time that a request can spare that is kept free for
 // the spread of the time at the server. The rest can be spent in the queue, so
 // that a server whose times are spread widely has a queue as well.
@@ -75,24 +79,35 @@
       finds_slot ? base::duration(0) : each * (ahead + 1) / std::max(1, slots_);
   const base::duration base_wait =
       std::max(slot_wait, rate_.WaitBehind(ahead, now));
-  const auto inflation = wait_inflation_.find(UrgencyOf(request));
-  if (inflation == wait_inflation_.end()) return base_wait;
-  return base::duration(static_cast<std::int64_t>(
-      static_cast<double>(base_wait.count()) * inflation->second));
+  return base::duration(
+      static_cast<std::int64_t>(static_cast<double>(base_wait.count()) *
+                                WaitInflation(UrgencyOf(request), now)));
+}
+
+double ranked_admission::WaitInflation(const urgency& of,
+                                       base::steady_instant now) const {
+  const auto known = wait_inflation_.find(of);
+  if (known == wait_inflation_.end()) return 1;
+  const double half_lives =
+      std::chrono::duration<double>(now - known->second.learnt_at) /
+      std::chrono::duration<double>(kInflationHalfLife);
+  return 1 + (known->second.factor - 1) * std::exp2(-half_lives);
 }
 
 void ranked_admission::UpdateWaitInflation(const admission_request& request,
                                            base::steady_instant now) {
   if (request.expected_wait < kMinWaitForInflation) return;
-  double& inflation =
-      wait_inflation_.try_emplace(UrgencyOf(request), 1.0).first->second;
+  const urgency of = UrgencyOf(request);
+  double inflation = WaitInflation(of, now);
   const double ratio = std::chrono::duration<double>(now - request.entered) /
                        std::chrono::duration<double>(request.expected_wait);
   // The expected wait already included the inflation at that time, so the ratio
   // corrects the inflation instead of replacing it.
   inflation *=
       1 + kWaitInflationWeight * (std::min(ratio, kMaxWaitInflation) - 1);
-  inflation = std::clamp(inflation, 1.0, kMaxWaitInflation);
+  wait_inflation_[of] = {
+      .factor = std::clamp(inflation, 1.0, kMaxWaitInflation),
+      .learnt_at = now};
 }
 
 admission_request ranked_admission::ToQueued(const admission_request& request,
--- a/src/decisions/ranked_admission.h
+++ b/src/decisions/ranked_admission.h
@@ -152,10 +152,20 @@
   base::duration typical_duration_{};  // Smoothed time at the server.
   std::set<admission_request, by_urgency> queue_;
 
-  // For each urgency, the factor by which requests wait longer than the queue
-  // ahead of them suggests. It exceeds 1 since more urgent requests that come
-  // later overtake them.
-  std::map<urgency, double> wait_inflation_;
+  // The factor by which requests wait longer than the queue ahead of them
+  // suggests. It exceeds 1 since more urgent requests that come later overtake
+  // them.
+  struct wait_inflation {
+    double factor = 1;
+    base::steady_instant learnt_at;
+  };
+
+  // Returns the factor for an urgency. It is forgotten over time: while it is
+  // so large that no request is queued, no wait can show that it has become
+  // smaller.
+  double WaitInflation(const urgency& of, base::steady_instant now) const;
+
+  std::map<urgency, wait_inflation> wait_inflation_;
 };
 
 }  // namespace fireflyspar::decisions
--- a/tests/decisions/ranked_admission_test.cc
+++ b/tests/decisions/ranked_admission_test.cc
@@ -296,6 +296,28 @@
   CHECK(gate.Enter(late(4), kStart).choice == admission_choice::kWait);
 }
 
+// Guards against a gate that refuses whatever would have to wait, long after
+// the server that made its queue wait has recovered: with nothing in the queue
+// it never learnt that waits were short again.
+TEST_CASE("a queue is used again after the server was slow for a while") {
+  ranked_admission gate = Full(1);
+  auto now = kStart;
+  std::uint64_t ticket = 0;
+  const auto is_queued = [&] {
+    return gate.Enter(Request({.ticket = ++ticket}, now), now).choice ==
+           admission_choice::kWait;
+  };
+  // Each request waits ten times as long as expected.
+  for (int slow = 0; slow < 40; ++slow) {
+    if (!is_queued()) break;
+    now += seconds(1);
+    gate.Leave(milliseconds(100));
+    gate.ProcessQueue(now);
+  }
+  now += seconds(5);
+  CHECK(is_queued());
+}
+
 // Guards against servers that are never given a queue, since a request may take
 // longer than its objective allows.
 TEST_CASE("half of the spare time is left for the queue") {
