Review: requests from before a SIGTERM end without an answer

A script in which a proxy is stopped while requests with 8 s left wait at the gate of another machine's busy server.

--- a/review/1/main.cc
+++ b/review/1/main.cc
@@ -82,7 +82,7 @@
   int copies_ = 0;
 };
 
-milliseconds Work() {
+milliseconds WorkOf(const std::string&) {
   static std::mutex mutex;
   static std::mt19937 random(std::random_device{}());
   static std::lognormal_distribution<double> factor(
@@ -185,7 +185,7 @@
   for (std::size_t i = 0; i < services.size(); ++i) {
     server_options server;
     if (services[i] == "supply") {
-      server.work = Work;
+      server.work_of = WorkOf;
       server.refuses = [](const std::string& id) {
         return disturbed.Refuses(id);
       };
--- a/review/2/main.cc
+++ b/review/2/main.cc
@@ -1,10 +1,10 @@
-// One tenant sends many times its usual. Three machines join while the store
-// turns away three others, among them the owners of the tenant's limit. No
-// window may see more of the tenant's requests than its limit allows.
-#include <algorithm>
-#include <atomic>
+// A proxy gets SIGTERM while its callers' requests wait at the gate of a busy
+// server, behind more urgent ones. Each request has more time left than the
+// proxy has to end. None may end without an answer before its deadline.
+#include <csignal>
 #include <iostream>
 #include <map>
+#include <random>
 #include <set>
 #include <thread>
 
@@ -15,159 +15,157 @@
 
 using nlohmann::json;
 
-constexpr int kTenants = 74;
-// One of those whose limit has other owners once the new machines are there.
-constexpr char kHotTenant[] = "tenant-24";
-constexpr double kRate = 160;
-constexpr double kBurst = 160;
+// As in the customer's sheet: builds and their files at one service.
+constexpr milliseconds kStatusWork{340};
+constexpr milliseconds kStatusDeadline{5000};
+constexpr milliseconds kFileWork{540};
+constexpr milliseconds kFileDeadline{8000};
+constexpr int kSlots = 12;
 
-// Of the rule.
-constexpr double kWindowS = 5;
-constexpr double kOver = 0.1;
-constexpr double kSlack = 20;
+// A little more than the server can do.
+constexpr double kStatusPerSecond = 42;
+constexpr milliseconds kStatusLoad{22'000};
+constexpr milliseconds kBeforeFiles{8000};
 
-// The store turns away this long.
-constexpr milliseconds kTurnedAway{9000};
-// The tenant's usual is its limit by 1.6, and it sends 7.5 times that.
-constexpr double kHotRate = kRate / 1.6 * 7.5;
-constexpr milliseconds kHot{8000};
-// How long before the store serves all again the tenant begins.
-constexpr milliseconds kBeforeReturn{4500};
-// From the start of a new machine's proxy to its server's first report.
-constexpr milliseconds kJoinPause{2000};
-constexpr int kConnectionsOfMachine = 6;
-constexpr int kMachines = 13;
+constexpr int kFiles = 12;
+constexpr milliseconds kFilePause{80};
+
+// Of the rules.
+constexpr double kGraceS = 6;
+constexpr double kLossSlackS = 0.2;
+
+constexpr std::size_t kEndingMachine = 1;
 
 json Configuration() {
-  std::vector<json> tenants;
-  for (int i = 0; i < kTenants; ++i) {
-    const std::string name = "tenant-" + std::to_string(i);
-    tenants.push_back(
-        json::array({name, json::array({"key-of-" + name}), 1, kRate, kBurst}));
-  }
   return {
       {"version", "r7"},
       {"routes",
        Table(
            {"name", "host", "path_prefix", "kind", "timeout", "slo", "priority",
-            "service", "attempts", "public", "traffic_split"},
-           {json::array({"r-grid", "grids.example", "/grid/", "safe", "1200ms",
-                         "500ms", 1, "grid-desk", 2, false, nullptr})})},
+            "service", "attempts", "traffic_split"},
+           {json::array({"r-status", "jobs.example", "/status/", "safe",
+                         "5000ms", "1200ms", 1, "job-tracking", 2, nullptr}),
+            json::array({"r-file", "jobs.example", "/files/", "safe", "8000ms",
+                         "2000ms", 2, "job-tracking", 2, nullptr})})},
       {"services",
        Table({"name", "health_path", "max_conns", "protocol", "tls"},
-             {json::array({"grid-desk", "/healthz", 440, "h1", false})})},
+             {json::array({"job-tracking", "/healthz", 430, "h1", false}),
+              json::array({"quoting", "/healthz", 430, "h1", false})})},
       {"limits",
        {{"header_bytes", 16384},
         {"body_bytes", 67108864},
         {"header_timeout", "3000ms"},
-        {"idle_timeout", "15000ms"}}},
-      {"tenants", Table({"name", "api_keys", "priority", "rate_per_s", "burst"},
-                        std::move(tenants))}};
+        {"idle_timeout", "15000ms"}}}};
 }
 
-// Sends requests of the tenant on one kept connection at a steady pace.
-void SendSteadily(deployment& fleet, const machine& from, int number) {
-  connection_ptr kept;
-  const std::chrono::duration<double> pace(kConnectionsOfMachine * kMachines /
-                                           kHotRate);
-  const auto end = steady::now() + kHot;
-  auto next = steady::now();
-  for (int sent = 0; steady::now() < end; ++sent) {
-    const caller_request request{
-        .id = "hot-" + std::to_string(number) + "-" + std::to_string(sent),
-        .method = "GET",
-        .host = "grids.example",
-        .path = "/grid/today",
-        .body = "",
-        .key = std::string("key-of-") + kHotTenant,
-        .deadline = milliseconds(1200)};
-    fleet.Send(from, request, kept);
-    next += std::chrono::duration_cast<steady::duration>(pace);
-    std::this_thread::sleep_until(next);
+void Get(deployment& fleet, const machine& from, const std::string& id,
+         const std::string& path, milliseconds deadline) {
+  connection_ptr fresh;
+  fleet.Send(from,
+             {.id = id,
+              .method = "GET",
+              .host = "jobs.example",
+              .path = path,
+              .body = "",
+              .key = "",
+              .deadline = deadline},
+             fresh);
+}
+
+// Asks for the status of builds from all machines but the one that ends.
+void LoadWithStatus(deployment& fleet) {
+  std::vector<std::thread> callers;
+  std::mt19937 random(1);
+  std::exponential_distribution<double> pause(kStatusPerSecond);
+  const auto end = steady::now() + kStatusLoad;
+  for (int number = 0; steady::now() < end; ++number) {
+    std::size_t index = random() % fleet.Machines().size();
+    if (index == kEndingMachine) index = 0;
+    const machine& from = fleet.Machines()[index];
+    callers.emplace_back(Get, std::ref(fleet), std::cref(from),
+                         "status-" + std::to_string(number), "/status/1",
+                         kStatusDeadline);
+    std::this_thread::sleep_for(std::chrono::duration<double>(pause(random)));
   }
+  for (std::thread& each : callers) each.join();
 }
 
-bool Check(record& log) {
+bool Check(record& log, double signalled_at) {
   std::map<std::string, double> sent;
-  std::vector<std::pair<double, double>> runs;  // Sent and arrived.
+  std::set<std::string> at_work;
   std::map<int, int> by_status;
+  int broken = 0;
+  int files = 0;
   for (const fact& each : log.Facts()) {
     if (each.kind == fact_kind::kSent) sent[each.request_id] = each.at_s;
-    if (each.kind == fact_kind::kAnswered) ++by_status[each.status];
-    if (each.kind == fact_kind::kRun) {
-      runs.emplace_back(sent.at(each.request_id), each.at_s);
+    if (each.kind == fact_kind::kRun) at_work.insert(each.request_id);
+    if (each.kind != fact_kind::kAnswered) continue;
+    if (!each.request_id.starts_with("file-")) {
+      ++by_status[each.status];
+      continue;
     }
+    ++files;
+    const double took = each.at_s - sent[each.request_id];
+    std::cout << each.request_id << ": " << each.status << " after " << took
+              << " s" << (at_work.contains(each.request_id) ? ", ran" : "")
+              << '\n';
+    const double deadline_s =
+        std::chrono::duration<double>(kFileDeadline).count();
+    const bool is_lost = each.status == 0 && took > kLossSlackS &&
+                         took < deadline_s - 0.01 &&
+                         !at_work.contains(each.request_id);
+    if (is_lost) ++broken;
   }
   for (const auto& [status, count] : by_status) {
-    std::cout << "answered " << status << ": " << count << '\n';
+    std::cout << "status requests answered " << status << ": " << count << '\n';
   }
-  std::size_t most = 0;
-  double at = 0;
-  for (const auto& [begin, ignored] : runs) {
-    const auto count = std::ranges::count_if(runs, [&](const auto& each) {
-      return each.first >= begin && each.second <= begin + kWindowS;
-    });
-    if (static_cast<std::size_t>(count) <= most) continue;
-    most = static_cast<std::size_t>(count);
-    at = begin;
-  }
-  const double allowed = (kRate * kWindowS + kBurst) * (1 + kOver) + kSlack;
-  const bool is_kept = static_cast<double>(most) <= allowed;
-  std::cout << (is_kept ? "kept: " : "QUOTA: ") << most
-            << " requests of the tenant ran in the 5 s from " << at
-            << " s; allowed are " << allowed << '\n';
-  return is_kept;
+  std::cout << (broken > 0 ? "LOST: " : "kept: ") << broken << " of " << files
+            << " requests ended without an answer before their deadline; "
+               "SIGTERM at "
+            << signalled_at << " s\n";
+  return broken == 0;
 }
 
 bool Run() {
   static record log("review/2/record.txt");
-  static deployment fleet(log,
-                          "  quota_window: \"5s\"\n  quota_over: 0.1\n"
-                          "  quota_slack: 20\n");
+  static deployment fleet(log, "");
   fleet.Store().Put("config", "main", Configuration());
   const std::vector<std::string> zones = {"zone-a", "zone-b", "zone-c"};
-  // Each zone has three or four machines at first, and gets one more.
-  constexpr int kFirst = 10;
-  const auto add = [&zones](int number) {
-    const bool joins = number > kFirst;
-    const int position = joins ? number - kFirst - 1 : number - 1;
+  constexpr int kMachines = 6;
+  for (int i = 0; i < kMachines; ++i) {
     server_options server;
-    server.slots = 12;
+    server.slots = kSlots;
     server.queue = 48;
-    if (joins) server.starts_after = kJoinPause;
-    fleet.Add("side-" + std::to_string(number),
-              zones[static_cast<std::size_t>(position) % zones.size()],
-              "grid-desk", !joins, server);
-  };
-  for (int i = 1; i <= kFirst; ++i) add(i);
-  fleet.AwaitReady(milliseconds(8000));
-  std::this_thread::sleep_for(milliseconds(6000));
-  log.Note("side-11, side-12, side-13 are added");
-  const auto added = steady::now();
-  for (int i = kFirst + 1; i <= kMachines; ++i) add(i);
-  fleet.AwaitReady(kJoinPause);
-  std::this_thread::sleep_until(added + kJoinPause - milliseconds(50));
-  if (HasTrouble()) {
-    log.Note("the store turns away side-2, side-7, side-9");
-    fleet.Store().TurnAway({"side-2", "side-7", "side-9"});
+    server.work_of = [](const std::string& id) {
+      return id.starts_with("file-") ? kFileWork : kStatusWork;
+    };
+    fleet.Add("side-" + std::to_string(i + 1),
+              zones[static_cast<std::size_t>(i) % zones.size()],
+              i == 0 ? "job-tracking" : "quoting", true, server);
   }
-  const auto back = steady::now() + kTurnedAway;
-  std::this_thread::sleep_until(back - kBeforeReturn);
-  log.Note("the tenant begins to send");
+  fleet.AwaitReady(milliseconds(8000));
+  std::this_thread::sleep_for(milliseconds(4000));
+  std::thread load([] { LoadWithStatus(fleet); });
+  std::this_thread::sleep_for(kBeforeFiles);
   std::vector<std::thread> callers;
-  int number = 0;
-  for (const machine& each : fleet.Machines()) {
-    for (int i = 0; i < kConnectionsOfMachine; ++i) {
-      callers.emplace_back(SendSteadily, std::ref(fleet), std::cref(each),
-                           ++number);
-    }
+  for (int i = 0; i < kFiles; ++i) {
+    callers.emplace_back(
+        Get, std::ref(fleet), std::cref(fleet.Machines()[kEndingMachine]),
+        "file-" + std::to_string(i), "/files/1", kFileDeadline);
+    std::this_thread::sleep_for(kFilePause);
+  }
+  const double signalled_at = log.Now();
+  if (HasTrouble()) {
+    log.Note("side-2 gets SIGTERM");
+    fleet.Signal(kEndingMachine, SIGTERM);
+    std::this_thread::sleep_for(std::chrono::duration<double>(kGraceS));
+    fleet.Signal(kEndingMachine, SIGKILL);
+    log.Note("the grace time of side-2 is over");
   }
-  std::this_thread::sleep_until(back);
-  log.Note("the store serves all");
-  fleet.Store().ServeAll();
   for (std::thread& each : callers) each.join();
+  load.join();
   fleet.Stop();
-  return Check(log);
+  return Check(log, signalled_at);
 }
 
 }  // namespace
--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -128,6 +128,10 @@
          "  value_bytes: 1048576\n";
 }
 
+void deployment::Signal(std::size_t index, int signal) const {
+  ::kill(proxies_.at(index), signal);
+}
+
 void deployment::AwaitReady(milliseconds timeout) const {
   const auto until = steady::now() + timeout;
   message question;
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -64,6 +64,8 @@
   void Add(const std::string& name, const std::string& zone,
            const std::string& service, bool is_first_start,
            server_options server);
+  // Sends the signal to the proxy on the machine with this index.
+  void Signal(std::size_t index, int signal) const;
   // Throws if a proxy is not ready in time.
   void AwaitReady(milliseconds timeout) const;
 
--- a/review/standins/server.cc
+++ b/review/standins/server.cc
@@ -110,7 +110,7 @@
   options_.log->Add(fact_kind::kRun, id,
                     options_.id + " for " + request.Header("Tenant"));
   std::this_thread::sleep_until(
-      std::min(deadline, steady::now() + options_.work()));
+      std::min(deadline, steady::now() + options_.work_of(id)));
   {
     const std::scoped_lock lock(mutex_);
     --running_;
--- a/review/standins/server.h
+++ b/review/standins/server.h
@@ -23,7 +23,8 @@
   int slots = 6;
   int queue = 24;
   // Returns how long the server works on a request.
-  std::function<milliseconds()> work = [] { return milliseconds(20); };
+  std::function<milliseconds(const std::string& request_id)> work_of =
+      [](const std::string&) { return milliseconds(20); };
   milliseconds starts_after{0};  // Before its first report.
   // Returns for how long the server stays cold.
   std::function<milliseconds()> cold_left = [] { return milliseconds(0); };
