--- a/review/1/main.cc
+++ b/review/1/main.cc
@@ -8,6 +8,7 @@
 #include <random>
 #include <set>
 #include <thread>
+#include <utility>
 
 #include "../standins/deployment.h"
 
@@ -51,14 +52,22 @@
   }
 
   // Copies are made of the first refusals after an idle moment, and of no more
-  // than the share of all answers of the time of the disruption.
+  // than the share of the answers in each time of the disruption.
   milliseconds CopyDelay(int status, int position) {
     const std::scoped_lock lock(mutex_);
     if (!IsWithin(kCopyingS)) return milliseconds(0);
+    const int period = PeriodNow();
+    if (std::exchange(period_, period) != period) {
+      answers_of_period_ = 0;
+      copies_of_period_ = 0;
+    }
     ++answers_;
-    const bool has_room = copies_ + 1 <= kCopiedShare * answers_;
+    ++answers_of_period_;
+    const bool has_room =
+        copies_of_period_ + 1 <= kCopiedShare * answers_of_period_;
     if (status != 503 || position > kFirst || !has_room) return milliseconds(0);
     ++copies_;
+    ++copies_of_period_;
     return kCopyDelay;
   }
 
@@ -73,6 +82,10 @@
     return HasTrouble() && since >= 0 && in_period < length_s;
   }
 
+  int PeriodNow() const {
+    return static_cast<int>((log_.Now() - kTroubleFromS) / kPeriodS);
+  }
+
   const record& log_;
   std::mutex mutex_;
   std::mt19937 random_{std::random_device{}()};
@@ -80,6 +93,9 @@
   std::set<std::string> refused_;
   int answers_ = 0;
   int copies_ = 0;
+  int period_ = -1;
+  int answers_of_period_ = 0;
+  int copies_of_period_ = 0;
 };
 
 milliseconds WorkOf(const std::string&) {
