REFUSED: never send a request twice on one connection

Cause: an answer was matched to its request by the caller's id alone, and a refused request comes back to the same gate under the same id. The guard looked at the last request of a connection only. With another request in between, the refused one got the connection that had carried it before, and a late copy of its first refusal counted as the answer to its second run. The connection then went back into the pool, although the server still worked on it.

Fix: a connection remembers the ids that it carried, up to 512, and never carries one twice; the pool gives out another connection if there is one. Copies of answers can then always be told from the answer that is due, whatever came in between.

--- a/src/backend_servers/connection_pool.cc
+++ b/src/backend_servers/connection_pool.cc
@@ -23,21 +23,25 @@
 }  // namespace
 
 std::unique_ptr<connection> connection_pool::Acquire(
-    const base::address& to, std::chrono::milliseconds max_idle) {
+    const base::address& to, std::chrono::milliseconds max_idle,
+    const std::function<bool(const connection&)>& accepts) {
   const auto found = idle_.find(to);
   if (found == idle_.end()) return nullptr;
   const auto now = std::chrono::steady_clock::now();
   std::vector<idle_connection>& held = found->second;
-  while (!held.empty()) {
-    // The last connection was added last; those before it have been idle for
-    // longer.
-    if (now - held.back().since > max_idle) return nullptr;
-    idle_connection last = std::move(held.back());
-    held.pop_back();
-    const bool within_max_idle = now - last.since <= last.max_idle;
-    if (within_max_idle && IsReusable(*last.held)) return std::move(last.held);
+  // The last connection was added last; those before it have been idle for
+  // longer.
+  for (std::size_t left = held.size(); left > 0; --left) {
+    const auto each = held.begin() + static_cast<std::ptrdiff_t>(left) - 1;
+    if (now - each->since > max_idle) return nullptr;
+    if (!accepts(*each->held)) continue;
+    idle_connection taken = std::move(*each);
+    held.erase(each);
+    const bool within_max_idle = now - taken.since <= taken.max_idle;
+    if (within_max_idle && IsReusable(*taken.held))
+      return std::move(taken.held);
   }
-  idle_.erase(found);
+  if (held.empty()) idle_.erase(found);
   return nullptr;
 }
 
--- a/src/backend_servers/connection_pool.h
+++ b/src/backend_servers/connection_pool.h
@@ -5,6 +5,7 @@
 #define FIREFLYSPAR_BACKEND_SERVERS_CONNECTION_POOL_H_
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -22,10 +23,11 @@
   explicit connection_pool(net::any_io_executor executor)
       : executor_(std::move(executor)) {}
 
-  // Returns a connection that has been idle for at most `max_idle` and that its
-  // peer has not closed, or null.
+  // Returns a connection that has been idle for at most `max_idle`, that its
+  // peer has not closed and for which `accepts` holds; or null.
   std::unique_ptr<connection> Acquire(
-      const base::address& to, std::chrono::milliseconds max_idle = kMaxIdle);
+      const base::address& to, std::chrono::milliseconds max_idle,
+      const std::function<bool(const connection&)>& accepts);
 
   // Puts an idle connection into the pool, where it stays usable for
   // `max_idle`.
--- a/src/backend_servers/exchange.cc
+++ b/src/backend_servers/exchange.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 
+#include "backend_servers/answer_reader.h"
 #include "backend_servers/headers.h"
 
 namespace fireflyspar::backend_servers {
@@ -15,13 +16,6 @@
 using boost::system::error_code;
 using steady = std::chrono::steady_clock;
 
-// Answers read on one connection in search of the one to the current request.
-// If all of them belong to earlier requests, the exchange fails.
-constexpr int kMaxStaleAnswers = 4;
-
-// Informational answers (1xx) before the final one.
-constexpr int kMaxInformational = 8;
-
 // Makes a cancellation stop the connection's operations, for the lifetime of
 // the object.
 class cancel_scope {
@@ -66,52 +60,6 @@
   co_return error;
 }
 
-using answer_parser = http::response_parser<http::string_body>;
-
-bool IsInformational(const answer_parser& parser) {
-  return parser.get().result_int() / 100 == 1;
-}
-
-// Reads one whole answer and skips informational ones (1xx). Sets `stays_open`
-// to false when the answer was the last on its connection.
-net::awaitable<error_code> ReadAnswer(connection& used, bool is_head_request,
-                                      bool accepts_close_delimited,
-                                      bool& stays_open, http_response& answer) {
-  error_code error;
-  auto token = net::redirect_error(net::use_awaitable, error);
-  std::optional<answer_parser> parser;
-  int informational = 0;
-  do {
-    if (informational++ > kMaxInformational) co_return http::error::bad_status;
-    parser.emplace();
-    parser->header_limit(kMaxHeaderBytes);
-    parser->body_limit(kMaxResponseBytes);
-    parser->skip(is_head_request);
-    // The head is read alone: when it is read along with the body, the parser
-    // passes over an error that it found in the head, such as a length above
-    // the limit, and reserves the memory.
-    co_await http::async_read_header(used.stream, used.buffer, *parser, token);
-    if (error) co_return error;
-  } while (IsInformational(*parser));
-  if (!parser->is_done()) {
-    co_await http::async_read(used.stream, used.buffer, *parser, token);
-    if (error) co_return error;
-  }
-  const bool is_close_delimited = !is_head_request && parser->need_eof();
-  if (is_close_delimited && !accepts_close_delimited) {
-    co_return http::error::partial_message;
-  }
-  stays_open = !is_close_delimited && parser->keep_alive();
-  answer = parser->release();
-  if (is_close_delimited || answer.chunked()) {
-    // The whole body was read, so its length is known now.
-    answer.erase(http::field::transfer_encoding);
-    answer.erase(http::field::trailer);
-    if (!is_head_request) answer.content_length(answer.body().size());
-  }
-  co_return error;
-}
-
 // Returns the id that the peer echoes; empty if it echoes none.
 std::string_view IdOf(const http_request& request,
                       const exchange_options& options) {
@@ -119,76 +67,37 @@
   return HeaderOf(request, options.correlation_header);
 }
 
-enum class answer_owner { kThisRequest, kOtherRequest, kNobodyKnows };
-
-// Tells by the correlation header whose answer this is. One without the header
-// can only be trusted on a connection without earlier requests.
-answer_owner OwnerOf(const http_response& answer, std::string_view request_id,
-                     const std::string& header, bool is_fresh) {
-  if (request_id.empty()) return answer_owner::kThisRequest;
-  const std::string_view echoed = HeaderOf(answer, header);
-  if (echoed.empty()) {
-    return is_fresh ? answer_owner::kThisRequest : answer_owner::kNobodyKnows;
-  }
-  return echoed == request_id ? answer_owner::kThisRequest
-                              : answer_owner::kOtherRequest;
-}
-
-// Reads the answer to `request` and skips answers to earlier requests. Sets
-// `stays_open` to false when it skipped any, since the connection must not be
-// used again then.
-net::awaitable<error_code> ReadMatchingAnswer(connection& used,
-                                              const exchange_options& options,
-                                              const http_request& request,
-                                              bool is_fresh, bool& stays_open,
-                                              http_response& answer) {
-  const bool is_head_request = request.method() == http::verb::head;
-  bool none_skipped = true;
-  for (int stale = 0; stale < kMaxStaleAnswers; ++stale) {
-    const error_code error = co_await ReadAnswer(
-        used, is_head_request, options.accepts_close_delimited, stays_open,
-        answer);
-    if (error) co_return error;
-    const answer_owner owner = OwnerOf(answer, IdOf(request, options),
-                                       options.correlation_header, is_fresh);
-    if (owner == answer_owner::kThisRequest) {
-      stays_open = stays_open && none_skipped;
-      co_return error;
-    }
-    if (owner == answer_owner::kNobodyKnows) break;
-    none_skipped = false;
-    if (!stays_open) break;
-  }
-  co_return http::error::bad_value;
+// Returns a pooled connection on which the answer to the request can be told
+// from all others; null if there is none.
+std::unique_ptr<connection> FindConnection(connection_pool& pool,
+                                           const exchange_options& options,
+                                           const http_request& request) {
+  const std::string_view id = IdOf(request, options);
+  const bool must_be_told_apart = !options.correlation_header.empty();
+  if (must_be_told_apart && id.empty()) return nullptr;
+  return pool.Acquire(options.to, options.max_idle,
+                      [id](const connection& each) {
+                        return id.empty() || !each.sent.MayContain(id);
+                      });
 }
 
-// Sends the head and waits for "100 Continue". Sets `has_final_answer` when the
-// peer sent a final answer instead, and stores that in `answer`.
+// Sends the head and waits for "100 Continue". Sets `final_answer` if the peer
+// sent one instead.
 net::awaitable<error_code> SendHeadAndAwaitContinue(
     connection& used, const exchange_options& options, http_request& request,
-    bool& has_final_answer, http_response& answer) {
+    answer_reader& answers, std::optional<received_answer>& final_answer) {
   error_code error;
-  auto token = net::redirect_error(net::use_awaitable, error);
   request.set(http::field::expect, "100-continue");
   http::request_serializer<http::string_body> serializer(request);
   if (options.continue_timeout.count() > 0) {
     used.stream.expires_at(
         std::min(options.deadline, steady::now() + options.continue_timeout));
   }
-  co_await http::async_write_header(used.stream, serializer, token);
+  co_await http::async_write_header(
+      used.stream, serializer, net::redirect_error(net::use_awaitable, error));
   if (error) co_return error;
-  answer_parser parser;
-  parser.header_limit(kMaxHeaderBytes);
-  parser.body_limit(kMaxResponseBytes);
-  co_await http::async_read_header(used.stream, used.buffer, parser, token);
-  if (error) co_return error;
-  if (IsInformational(parser)) {
-    used.stream.expires_at(options.deadline);
-    co_return error;
-  }
-  co_await http::async_read(used.stream, used.buffer, parser, token);
-  has_final_answer = true;
-  answer = parser.release();
+  error = co_await answers.ReadContinue(final_answer);
+  if (!error && !final_answer) used.stream.expires_at(options.deadline);
   co_return error;
 }
 
@@ -230,14 +139,11 @@
     result.end = exchange_outcome::kCancelled;
     co_return result;
   }
-  std::unique_ptr<connection> used = pool.Acquire(options.to, options.max_idle);
-  // On a connection that carried the same request before, as after a refusal,
-  // nobody could tell a second copy of the first answer from the next one.
-  const std::string_view id = IdOf(request, options);
-  if (used && !id.empty() && used->last_id == id) used.reset();
+  std::unique_ptr<connection> used = FindConnection(pool, options, request);
   const bool is_fresh = used == nullptr;
   if (is_fresh) used = std::make_unique<connection>(pool.Executor());
-  used->last_id = id;
+  const std::string id(IdOf(request, options));
+  if (!id.empty()) used->sent.Add(id);
   const cancel_scope scope(cancel, *used);
   error_code error;
   if (is_fresh) {
@@ -253,19 +159,23 @@
     co_return result;
   }
   used->stream.expires_at(options.deadline);
-  auto token = net::redirect_error(net::use_awaitable, error);
-  bool stays_open = true;
-  bool has_final_answer = false;
+  answer_reader answers(
+      *used, {.correlation_header = options.correlation_header,
+              .accepts_close_delimited = options.accepts_close_delimited,
+              .request_id = id,
+              .is_head_request = request.method() == http::verb::head,
+              .is_first = is_fresh});
+  std::optional<received_answer> answer;
   if (options.body_after_continue) {
-    error = co_await SendHeadAndAwaitContinue(*used, options, request,
-                                              has_final_answer, result.answer);
+    error = co_await SendHeadAndAwaitContinue(*used, options, request, answers,
+                                              answer);
     if (error) {
       result = MakeFailure(cancel, error, false);
       co_return result;
     }
-    stays_open = !has_final_answer || result.answer.keep_alive();
   }
-  if (!has_final_answer) {
+  if (!answer) {
+    auto token = net::redirect_error(net::use_awaitable, error);
     std::size_t written = 0;
     if (options.body_after_continue) {
       written = co_await net::async_write(used->stream,
@@ -284,23 +194,25 @@
       result = MakeFailure(cancel, error, written > harmless || was_aborted);
       co_return result;
     }
-    error = co_await ReadMatchingAnswer(*used, options, request, is_fresh,
-                                        stays_open, result.answer);
+    answer.emplace();
+    error = co_await answers.Read(*answer);
   }
   if (error) {
     result = MakeFailure(cancel, error, true);
     co_return result;
   }
+  result.sent = true;
+  result.answer = std::move(answer->message);
   if (options.check_exchange_id && HeaderOf(result.answer, kExchangeHeader) !=
                                        HeaderOf(request, kExchangeHeader)) {
-    result.sent = true;
     result.detail = "the answer belongs to another request";
     co_return result;
   }
   result.end = exchange_outcome::kAnswered;
-  result.sent = true;
   used->stream.expires_never();
-  if (stays_open && used->buffer.size() == 0) {
+  const bool may_reuse = answer->can_reuse_connection && request.keep_alive() &&
+                         !used->sent.IsFull() && used->buffer.size() == 0;
+  if (may_reuse) {
     pool.Release(options.to, std::move(used), IdleLimit(result.answer));
   }
   co_return result;
--- a/src/backend_servers/exchange.h
+++ b/src/backend_servers/exchange.h
@@ -46,7 +46,8 @@
   // Name of a header that the peer copies from a request to its answer. An
   // answer with another value belongs to an earlier request and is skipped. One
   // without it ends an exchange on a used connection, since nobody can tell
-  // whose it is. Empty: not checked.
+  // whose it is. No connection carries two requests with the same value, or any
+  // beside one without the header. Empty: not checked.
   std::string correlation_header;
   // Accepts an answer that has no length and ends when the peer closes the
   // connection.
--- a/src/backend_servers/http.h
+++ b/src/backend_servers/http.h
@@ -21,6 +21,7 @@
 #include <string>
 #include <string_view>
 
+#include "backend_servers/sent_requests.h"
 #include "base/address.h"
 #include "base/result.h"
 
@@ -50,8 +51,7 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer{kMaxBufferedBytes};
-  // The correlation id of the last request that was sent on it.
-  std::string last_id;
+  sent_requests sent;
 };
 
 // Tells the code that works on a caller's request that the caller has gone
--- a/tests/backend_servers/scripted_peer.cc
+++ b/tests/backend_servers/scripted_peer.cc
@@ -17,6 +17,11 @@
   return std::string(head.substr(at, head.find('\r', at) - at));
 }
 
+std::string TargetOf(std::string_view head) {
+  const std::size_t at = head.find(' ') + 1;
+  return std::string(head.substr(at, head.find(' ', at) - at));
+}
+
 }  // namespace
 
 scripted_peer::scripted_peer(net::io_context& loop, script answer)
@@ -29,19 +34,25 @@
   for (;;) {
     tcp::socket socket = co_await acceptor_.async_accept(net::use_awaitable);
     ++connections_;
-    net::co_spawn(acceptor_.get_executor(), Serve(std::move(socket)),
+    net::co_spawn(acceptor_.get_executor(),
+                  Serve(std::make_shared<tcp::socket>(std::move(socket))),
                   net::detached);
   }
 }
 
-net::awaitable<void> scripted_peer::Serve(tcp::socket socket) {
+net::awaitable<void> scripted_peer::Serve(std::shared_ptr<tcp::socket> socket) {
   std::string received;
   for (;;) {
     const std::size_t length = co_await net::async_read_until(
-        socket, net::dynamic_buffer(received), "\r\n\r\n", net::use_awaitable);
-    const std::string id = IdOf(std::string_view(received).substr(0, length));
+        *socket, net::dynamic_buffer(received), "\r\n\r\n", net::use_awaitable);
+    const std::string_view head = std::string_view(received).substr(0, length);
+    const peer_request request{
+        .id = IdOf(head),
+        .target = TargetOf(head),
+        .expects_continue = head.find("100-continue") != std::string_view::npos,
+        .from = socket};
     received.erase(0, length);
-    co_await answer_(socket, id);
+    co_await answer_(*socket, request);
   }
 }
 
@@ -55,12 +66,27 @@
 exchange_result peer_client::Send(const std::string& id) {
   http_request request(http::verb::get, "/p", 11);
   request.set(kIdHeader, id);
+  return Run(std::move(request), false);
+}
+
+exchange_result peer_client::Upload(const std::string& id,
+                                    const std::string& body) {
+  http_request request(http::verb::post, "/p", 11);
+  request.set(kIdHeader, id);
+  request.body() = body;
+  request.prepare_payload();
+  return Run(std::move(request), true);
+}
+
+exchange_result peer_client::Run(http_request request,
+                                 bool body_after_continue) {
   exchange_options options;
   options.to = peer_.Address();
   options.deadline =
       std::chrono::steady_clock::now() + std::chrono::seconds(20);
-  options.correlation_header = kIdHeader;
-  options.accepts_close_delimited = true;
+  if (!is_proxy_) options.correlation_header = kIdHeader;
+  options.accepts_close_delimited = !is_proxy_;
+  options.body_after_continue = body_after_continue;
   cancellation never;
   exchange_result ended;
   bool has_ended = false;
--- a/tests/backend_servers/scripted_peer.h
+++ b/tests/backend_servers/scripted_peer.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -14,11 +15,19 @@
 
 namespace fireflyspar::backend_servers {
 
+// What the peer has read of a request, and the connection that it came on.
+struct peer_request {
+  std::string id;
+  std::string target;
+  bool expects_continue = false;  // Its body was not sent yet.
+  std::shared_ptr<tcp::socket> from;
+};
+
 class scripted_peer {
  public:
-  // Writes the answer to the request with this id, and more.
+  // Writes the answer to the request, and more.
   using script =
-      std::function<net::awaitable<void>(tcp::socket&, const std::string& id)>;
+      std::function<net::awaitable<void>(tcp::socket&, const peer_request&)>;
 
   scripted_peer(net::io_context& loop, script answer);
 
@@ -32,7 +41,7 @@
 
  private:
   net::awaitable<void> Accept();
-  net::awaitable<void> Serve(tcp::socket socket);
+  net::awaitable<void> Serve(std::shared_ptr<tcp::socket> socket);
 
   tcp::acceptor acceptor_;
   script answer_;
@@ -53,13 +62,23 @@
   // Sends a request with this id and waits for what becomes of it.
   exchange_result Send(const std::string& id);
 
+  // The same with a body, which is sent when the peer has asked for it.
+  exchange_result Upload(const std::string& id, const std::string& body);
+
+  // Has the client take the peer for a process of its own kind, which names no
+  // request in its answers and always sends their lengths.
+  void ExpectProxy() { is_proxy_ = true; }
+
   void RunFor(std::chrono::milliseconds span) { loop_.run_for(span); }
   int Connections() const { return peer_.Connections(); }
 
  private:
+  exchange_result Run(http_request request, bool body_after_continue);
+
   net::io_context loop_;
   scripted_peer peer_;
   std::optional<connection_pool> pool_{loop_.get_executor()};
+  bool is_proxy_ = false;
 };
 
 }  // namespace fireflyspar::backend_servers
