Take only what a server marks as not executed for "not run"

What callers could see: a server's 503, 429 or 408 without the mark was passed on to the caller of an order, to whom it means that the order has not run; and a success with the mark counted as a refusal, so that a request that ran was offered again.

Cause: the gate looked at the mark alone, whatever the status, and at no status without it. The protocol says that only the mark states "not run".

One place now reads what an answer says (proxy/server_answers).

--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -6,6 +6,7 @@
 #include "backend_servers/exchange.h"
 #include "backend_servers/listening_check.h"
 #include "proxy/gate_log.h"
+#include "proxy/server_answers.h"
 
 namespace fireflyspar::proxy {
 namespace {
@@ -512,8 +513,9 @@
   if (ended.end != exchange_outcome::kAnswered) {
     co_return co_await WithoutAnswer(ended, offer, entered, request, asked);
   }
-  constexpr unsigned kMisdirected = 421;
-  if (ended.answer.result_int() == kMisdirected) {
+  const answer_meaning meaning =
+      MeaningOf(ended.answer, names, offer.is_idempotent);
+  if (meaning == answer_meaning::kMisdirected) {
     is_misaddressed_ = true;
     UpdateAdmission();
     gate_outcome misdirected =
@@ -522,12 +524,16 @@
     co_return misdirected;
   }
   if (server_ && decisions::IsSameStart(*server_, asked)) {
-    const bool was_run = HeaderOf(ended.answer, names.not_run).empty();
+    const bool was_run = meaning != answer_meaning::kRefused;
     notices_.OnAnswer(ended.answer, {.sent = sent, .was_run = was_run},
                       steady::now());
     ApplyNotices();
   }
-  if (!HeaderOf(ended.answer, names.not_run).empty()) {
+  if (meaning == answer_meaning::kUnclear) {
+    co_return Unknown(error_kind::kServerFailed,
+                      "the server's answer contradicts itself");
+  }
+  if (meaning == answer_meaning::kRefused) {
     gate_outcome refused = NotRun(error_kind::kShed, "the server refused it");
     refused.wait = offer.typical_duration;
     refused.refused_by_server = true;
