--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -6,6 +6,7 @@
 #include "backend_servers/exchange.h"
 #include "backend_servers/listening_check.h"
 #include "proxy/gate_log.h"
+#include "proxy/gate_scopes.h"
 #include "proxy/server_answers.h"
 
 namespace fireflyspar::proxy {
@@ -59,58 +60,6 @@
                                          : error_kind::kDeadlinePassed};
 }
 
-// Gives a slot back if its request ends by an exception.
-class running_slot {
- public:
-  explicit running_slot(decisions::ranked_admission& admission)
-      : admission_(admission) {}
-  ~running_slot() {
-    if (is_held_) admission_.Leave({});
-  }
-  running_slot(const running_slot&) = delete;
-  running_slot& operator=(const running_slot&) = delete;
-
-  void Leave(base::duration took) {
-    is_held_ = false;
-    admission_.Leave(took);
-  }
-
- private:
-  decisions::ranked_admission& admission_;
-  bool is_held_ = true;
-};
-
-// Notes that a request runs, also if it ends by an exception.
-class entered_request {
- public:
-  entered_request(gate_suspects& suspects,
-                  gate_suspects::running_request entered)
-      : suspects_(suspects), entered_(std::move(entered)) {}
-  ~entered_request() { suspects_.Leave(entered_); }
-  entered_request(const entered_request&) = delete;
-  entered_request& operator=(const entered_request&) = delete;
-
-  const gate_suspects::running_request& Request() const { return entered_; }
-
- private:
-  gate_suspects& suspects_;
-  gate_suspects::running_request entered_;
-};
-
-// Holds the memory of a body at the gate until its request has ended.
-class held_body {
- public:
-  held_body(decisions::transfer_queue& transfers, std::uint64_t bytes)
-      : transfers_(transfers), bytes_(bytes) {}
-  ~held_body() { transfers_.Release(bytes_); }
-  held_body(const held_body&) = delete;
-  held_body& operator=(const held_body&) = delete;
-
- private:
-  decisions::transfer_queue& transfers_;
-  std::uint64_t bytes_;
-};
-
 }  // namespace
 
 gate::gate(gate_options options)
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "proxy/body_loan.h"
 #include "proxy/header_values.h"
 #include "proxy/identify_request.h"
 #include "proxy/suspect_headers.h"
@@ -37,14 +38,6 @@
 // longer time.
 constexpr milliseconds kClosedAvoidance{250};
 
-// A route's typical time at a server before any response: the route's objective
-// divided by kInitialTypicalDivisor, but at least kMinInitialTypicalTime.
-constexpr int kInitialTypicalDivisor = 3;
-constexpr milliseconds kMinInitialTypicalTime{50};
-
-// Exponential smoothing of the typical time: one response has the weight 1 / n.
-constexpr int kTypicalSmoothing = 16;
-
 constexpr unsigned kFirstServerErrorStatus = 500;
 constexpr unsigned kGatewayTimeout = 504;
 
@@ -58,22 +51,6 @@
          outcome.answer.result_int() != kGatewayTimeout;
 }
 
-// Moves the body of one message to another for its lifetime.
-class body_loan {
- public:
-  body_loan(http_request& owner, http_request& borrower)
-      : owner_(owner), borrower_(borrower) {
-    owner_.body().swap(borrower_.body());
-  }
-  ~body_loan() { owner_.body().swap(borrower_.body()); }
-  body_loan(const body_loan&) = delete;
-  body_loan& operator=(const body_loan&) = delete;
-
- private:
-  http_request& owner_;
-  http_request& borrower_;
-};
-
 }  // namespace
 
 router::router(router_options options)
@@ -280,7 +257,7 @@
   if (context.runs >= context.route->max_attempts) return false;
   if (context.call->cancel->IsCancelled()) return false;
   const auto now = steady::now();
-  if (now + TypicalDuration(context) > context.deadline) return false;
+  if (now + typical_durations_.Of(*context.route) > context.deadline) return false;
   const std::string version =
       options_.rollout_states->ChooseVersion(context.service);
   if (IsWithheld(context, version)) return false;
@@ -411,7 +388,7 @@
       });
   const std::uint64_t body_bytes = context.call->request.body().size();
   const decisions::choice_request wanted{
-      .typical_duration = TypicalDuration(context),
+      .typical_duration = typical_durations_.Of(*context.route),
       .body_bytes = body_bytes >= kLargeBodyBytes ? body_bytes : 0};
   const auto chosen = choice_.Choose(candidates, wanted, options_.random, now);
   if (!chosen) return nullptr;
@@ -439,7 +416,7 @@
       .wait_limit = WaitLimit(context),
       .left = left(context.deadline),
       .time_to_objective = left(context.objective),
-      .typical_duration = TypicalDuration(context),
+      .typical_duration = typical_durations_.Of(*context.route),
       .body_bytes = context.call->request.body().size(),
       .told = notices_.Find(entry),
       .suspect = known == nullptr ? std::nullopt : std::optional(*known),
@@ -469,7 +446,7 @@
                                                       context.begun);
   }
   return base::duration(static_cast<std::int64_t>(
-      static_cast<double>(TypicalDuration(context).count()) * kFirstWaitLimit));
+      static_cast<double>(typical_durations_.Of(*context.route).count()) * kFirstWaitLimit));
 }
 
 void router::RecordOutcome(const request_context& context,
@@ -502,9 +479,7 @@
         outcome.answer.result_int() < kFirstServerErrorStatus &&
         !options_.rollout_states->IsUnproven(context.service, status.version);
     if (is_latency_sample) {
-      auto [estimate, is_first] = typical_durations_.try_emplace(
-          context.route->name, TypicalDuration(context));
-      estimate->second += (status.took - estimate->second) / kTypicalSmoothing;
+      typical_durations_.Record(*context.route, status.took);
     }
   }
   const bool is_closed = outcome.end == gate_outcome_kind::kNotRun &&
@@ -516,11 +491,4 @@
   }
 }
 
-base::duration router::TypicalDuration(const request_context& context) const {
-  const auto known = typical_durations_.find(context.route->name);
-  if (known != typical_durations_.end()) return known->second;
-  const auto objective = context.route->objective / kInitialTypicalDivisor;
-  return std::max<base::duration>(objective, kMinInitialTypicalTime);
-}
-
 }  // namespace fireflyspar::proxy
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -23,6 +23,7 @@
 #include "decisions/route_index.h"
 #include "decisions/server_directory.h"
 #include "decisions/shared_retry_budget.h"
+#include "decisions/typical_durations.h"
 #include "proxy/caller_answers.h"
 #include "proxy/gate.h"
 #include "proxy/gate_client.h"
@@ -151,7 +152,6 @@
   void RecordOutcome(const request_context& context,
                      const decisions::server_entry& to,
                      const gate_outcome& outcome);
-  base::duration TypicalDuration(const request_context& context) const;
   // Returns the version in force; 0 if there is none.
   std::uint64_t Version() const;
   static request_report ReportOf(const request_context& context);
@@ -166,8 +166,7 @@
   decisions::weighted_target_selector target_selector_;
   decisions::gate_choice choice_;
   decisions::shared_retry_budget budget_;
-  // Typical time of a request at a server, by route name.
-  std::map<std::string, base::duration, std::less<>> typical_durations_;
+  decisions::typical_durations typical_durations_;
   decisions::elapsed_time_estimator caller_timeouts_;
   // By instance.
   std::map<std::string, decisions::server_info, std::less<>> servers_seen_;
