LOST: requests from before SIGTERM have their answers before the end

Cause: the time that a process has left after SIGTERM was applied to requests that arrived after it only. One that was there before kept its deadline, and the gate at which it waited knew no other. It stayed in the queue behind more urgent ones until its process closed all connections.

"a request that waits when the process begins to end has its answer" failed on: no answer, and the request ran after the time by which the router was to answer.

Fix: at SIGTERM the router shortens the time of all its requests and tells the gates at which they wait, again every 0.2 s. The gate refuses what is not expected to have its turn by then, as soon as it is not expected to: a request that has waited longer than expected is taken to go on at that pace. Only the gate can say "not run": it holds the request. What runs is left alone. A gate whose own process ends admits only what is expected to end before. What is left 0.6 s before SIGKILL is answered without its outcome, and the process waits until these answers are written.

--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -14,6 +14,7 @@
 
 #include "app/entry_publisher.h"
 #include "app/evacuation_follower.h"
+#include "app/graceful_shutdown.h"
 #include "app/rollout_writer.h"
 #include "app/store_follower.h"
 #include "app/withheld_requests.h"
@@ -42,19 +43,6 @@
 
 constexpr int kTicksPerSecond = 10;
 
-// After SIGTERM the readiness check fails at once, but requests are still
-// served for this time, so that everything that routes requests to this process
-// has noticed before it ends.
-constexpr milliseconds kServeAfterSignal{2300};
-
-// Requests that have not finished this long before the shutdown limit are
-// aborted.
-constexpr milliseconds kShutdownMargin{600};
-
-// Requests that arrive after SIGTERM have their answers this long before the
-// requests that are left are aborted.
-constexpr milliseconds kLastAnswerMargin{300};
-
 constexpr milliseconds kDeadPeerTimeout{1500};
 
 // Path, beside the metrics, of the list of what is suspected and withheld.
@@ -513,36 +501,18 @@
 }
 
 net::awaitable<void> proxy_process::ShutDown() {
-  const auto shutdown_start = steady::now();
-  const auto limit =
-      shutdown_start + settings_.shutdown_limit - kShutdownMargin;
-  log_.Write(event_priority::kStateChange, "stopping", {});
-  caller_listener_->DisableKeepAlive();
-  router_.AnswerBy(limit - kLastAnswerMargin);
-  const auto& server = gate_.Server();
-  const bool should_withdraw =
-      !server || server->condition == decisions::server_condition::kDraining;
-  if (should_withdraw) {
-    quota_.OnLeave();
-    co_await publisher_.Withdraw();
-  }
-  const auto serve_time_left = std::chrono::duration_cast<base::duration>(
-      shutdown_start + kServeAfterSignal - steady::now());
-  co_await Pause(serve_time_left);
-  gate_.Close();
-  router_.StartDraining();
-  constexpr milliseconds kPoll{20};
-  // An answer may still be on its way to another instance's router when nothing
-  // runs here any more.
-  const auto is_busy = [this] {
-    return gate_.Running() > 0 ||
-           std::ranges::any_of(listeners_, [](const auto& each) {
-             return each->ActiveRequests() > 0;
-           });
-  };
-  while (is_busy() && steady::now() < limit) co_await Pause(kPoll);
-  log_.Write(event_priority::kStateChange, "stopped",
-             {{"cut_off", std::to_string(caller_listener_->ActiveRequests())}});
+  graceful_shutdown shutdown({.executor = executor_,
+                              .log = &log_,
+                              .limit = settings_.shutdown_limit,
+                              .router = &router_,
+                              .gate = &gate_,
+                              .caller_listener = caller_listener_,
+                              .listeners = listeners_,
+                              .withdraw = [this] {
+                                quota_.OnLeave();
+                                return publisher_.Withdraw();
+                              }});
+  co_await shutdown.Run();
   for (const auto& each : listeners_) each->Close();
   log_.Flush();
   loop_.stop();
--- a/src/decisions/ranked_admission.cc
+++ b/src/decisions/ranked_admission.cc
@@ -84,6 +84,19 @@
                                 WaitInflation(UrgencyOf(request), now)));
 }
 
+// A request that has waited longer than was expected is overtaken by others.
+// The rest of its wait takes longer by the same factor.
+base::duration ranked_admission::RemainingWait(const admission_request& waiting,
+                                               base::steady_instant now) const {
+  const base::duration expected = ExpectedWait(waiting, now);
+  if (waiting.expected_wait < kMinWaitForInflation) return expected;
+  const double factor = std::chrono::duration<double>(now - waiting.entered) /
+                        std::chrono::duration<double>(waiting.expected_wait);
+  if (factor <= 1) return expected;
+  return base::duration(static_cast<std::int64_t>(
+      static_cast<double>(expected.count()) * factor));
+}
+
 double ranked_admission::WaitInflation(const urgency& of,
                                        base::steady_instant now) const {
   const auto known = wait_inflation_.find(of);
@@ -165,6 +178,17 @@
   return true;
 }
 
+void ranked_admission::Shorten(std::uint64_t ticket,
+                               base::steady_instant deadline) {
+  const auto waiting =
+      std::ranges::find(queue_, ticket, &admission_request::ticket);
+  if (waiting == queue_.end() || waiting->deadline <= deadline) return;
+  auto shortened = queue_.extract(waiting);
+  shortened.value().deadline = deadline;
+  shortened.value().is_shortened = true;
+  queue_.insert(std::move(shortened));
+}
+
 std::vector<queued_result> ranked_admission::ProcessQueue(
     base::steady_instant now) {
   std::vector<queued_result> ended;
@@ -184,6 +208,9 @@
       Start(now);
       UpdateWaitInflation(*each, now);
       each = end(each, {.choice = admission_choice::kRun});
+    } else if (each->is_shortened && HasNoTurn(*each, now)) {
+      each =
+          end(each, Refuse(base::error_kind::kShed, ExpectedWait(*each, now)));
     } else {
       ++each;
     }
--- a/src/decisions/ranked_admission.h
+++ b/src/decisions/ranked_admission.h
@@ -45,6 +45,8 @@
   base::duration wait_limit = base::duration::max();
   base::steady_instant objective;  // An answer after this time is late.
   base::steady_instant deadline;   // The caller waits no longer than this.
+  // Whether the deadline was moved forward while the request was queued.
+  bool is_shortened = false;
   // Set when the request is queued.
   base::steady_instant entered;
   base::duration expected_wait{};
@@ -101,6 +103,11 @@
   // request was queued.
   bool Abandon(std::uint64_t ticket);
 
+  // Moves the deadline of a queued request forward. From now on ProcessQueue
+  // refuses it as soon as it is not expected to have a turn in time. Does
+  // nothing if no such request is queued, or its deadline is earlier.
+  void Shorten(std::uint64_t ticket, base::steady_instant deadline);
+
   // Takes from the queue the requests that run now and those that are refused
   // now, and returns both.
   std::vector<queued_result> ProcessQueue(base::steady_instant now);
@@ -135,6 +142,15 @@
   bool HasTimelyWaiting() const;
   base::duration ExpectedWait(const admission_request& request,
                               base::steady_instant now) const;
+  // Returns how much longer a queued request is expected to wait.
+  base::duration RemainingWait(const admission_request& waiting,
+                               base::steady_instant now) const;
+  // Returns whether a queued request is not expected to end in time.
+  bool HasNoTurn(const admission_request& waiting,
+                 base::steady_instant now) const {
+    return now + RemainingWait(waiting, now) + waiting.typical_duration >
+           waiting.deadline;
+  }
   bool CanStart(base::steady_instant now) const {
     return running_ < slots_ && rate_.HasTurn(now);
   }
--- a/src/decisions/transfer_queue.cc
+++ b/src/decisions/transfer_queue.cc
@@ -118,14 +118,34 @@
   return true;
 }
 
+void transfer_queue::Shorten(std::uint64_t ticket,
+                             base::steady_instant deadline) {
+  const auto waiting = std::ranges::find(
+      queue_, ticket,
+      [](const queued_body& each) { return each.request.ticket; });
+  if (waiting == queue_.end() || waiting->request.deadline <= deadline) return;
+  auto shortened = queue_.extract(waiting);
+  shortened.value().request.deadline = deadline;
+  shortened.value().request.is_shortened = true;
+  queue_.insert(std::move(shortened));
+}
+
+bool transfer_queue::IsTooLate(const queued_body& body,
+                               base::steady_instant now) const {
+  const transfer_request& request = body.request;
+  const base::duration wait =
+      request.is_shortened ? TimeFor(BytesAhead(body)) : base::duration(0);
+  return now + wait + TimeFor(request.bytes) + request.time_after >
+         request.deadline;
+}
+
 std::vector<queued_result> transfer_queue::ProcessQueue(
     base::steady_instant now) {
   std::vector<queued_result> ended;
   bool is_blocked = false;
   for (auto each = queue_.begin(); each != queue_.end();) {
     const transfer_request request = each->request;
-    const base::duration own_time = TimeFor(request.bytes) + request.time_after;
-    const bool cannot_finish = now + own_time > request.deadline;
+    const bool cannot_finish = IsTooLate(*each, now);
     // Bodies are admitted in order: a small one doesn't overtake a large one,
     // which would otherwise never find room.
     is_blocked = is_blocked || !HasRoom(request.bytes);
--- a/src/decisions/transfer_queue.h
+++ b/src/decisions/transfer_queue.h
@@ -44,6 +44,8 @@
   base::duration wait_limit = base::duration::max();
   base::steady_instant objective;  // An answer after this time is late.
   base::steady_instant deadline;   // The caller waits no longer than this.
+  // Whether the deadline was moved forward while the body was queued.
+  bool is_shortened = false;
 };
 
 class transfer_queue {
@@ -65,6 +67,11 @@
   // was queued.
   bool Abandon(std::uint64_t ticket);
 
+  // Moves the deadline of a queued body's request forward. From now on
+  // ProcessQueue refuses it as soon as it is not expected to have a turn in
+  // time. Does nothing if no such body is queued, or its deadline is earlier.
+  void Shorten(std::uint64_t ticket, base::steady_instant deadline);
+
   // Takes from the queue the bodies that are admitted now and those that are
   // refused now, and returns both.
   std::vector<queued_result> ProcessQueue(base::steady_instant now);
@@ -86,6 +93,8 @@
     }
   };
 
+  // Returns whether a queued body is not expected to be used in time.
+  bool IsTooLate(const queued_body& body, base::steady_instant now) const;
   base::duration TimeFor(std::uint64_t bytes) const;
   std::uint64_t BytesAhead(const queued_body& body) const;
   bool HasRoom(std::uint64_t bytes) const;
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -66,6 +66,7 @@
     : options_(std::move(options)),
       pool_(options_.executor),
       transfers_(options_.transfers),
+      pending_(admission_, transfers_),
       waiters_(options_.executor),
       turn_timer_(options_.executor),
       notices_({.headers = options_.headers,
@@ -213,6 +214,17 @@
   UpdateAdmission();
 }
 
+void gate::Shorten(std::span<const std::string> request_ids,
+                   base::steady_instant deadline) {
+  pending_.Shorten(request_ids, deadline);
+  NotifyWaiters();
+}
+
+void gate::EndBy(base::steady_instant end) {
+  pending_.EndBy(end);
+  NotifyWaiters();
+}
+
 void gate::Close() {
   is_closed_ = true;
   UpdateAdmission();
@@ -370,12 +382,16 @@
     }
   }
   const auto begun = steady::now();
-  admission_request pending = ToAdmissionRequest(offer, begun);
+  pending_offer pending{
+      .request_id = std::string(HeaderOf(request, options_.headers.request_id)),
+      .admission = ToAdmissionRequest(offer, begun),
+      .deadline = begun + offer.left};
+  const pending_offers::entry entry(pending_, pending);
   const bool is_large = read_body && offer.body_bytes >= kLargeBodyBytes;
   std::optional<held_body> held;
   if (is_large) {
     const admission_result received =
-        co_await ReceiveLargeBody(offer, pending, read_body, cancel);
+        co_await ReceiveLargeBody(offer, pending.admission, read_body, cancel);
     waited = ElapsedSince(begun);
     if (received.choice == admission_choice::kRefuse) {
       gate_outcome refusal = ToRefusal(received);
@@ -384,9 +400,10 @@
     }
     held.emplace(transfers_, offer.body_bytes);
     // Another gate would need the body again.
-    pending.wait_limit = base::duration::max();
+    pending.admission.wait_limit = base::duration::max();
   }
-  const admission_result admitted = co_await WaitForSlot(pending, cancel);
+  const admission_result admitted =
+      co_await WaitForSlot(pending.admission, cancel);
   waited = ElapsedSince(begun);
   if (admitted.choice == admission_choice::kRefuse) {
     gate_outcome refusal = ToRefusal(admitted);
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 
 #include "backend_servers/connection_pool.h"
@@ -29,6 +30,7 @@
 #include "proxy/gate_notices.h"
 #include "proxy/gate_suspects.h"
 #include "proxy/header_names.h"
+#include "proxy/pending_offers.h"
 #include "proxy/server_measurements.h"
 #include "proxy/turn_waiters.h"
 
@@ -96,6 +98,16 @@
   // Admits nothing while the data centre is evacuated.
   void SetEvacuated(bool is_evacuated);
 
+  // Moves the deadlines of these requests forward, since the process that they
+  // came to ends. Those that are expected to have no turn before are refused at
+  // once; those that run are left alone.
+  void Shorten(std::span<const std::string> request_ids,
+               base::steady_instant deadline);
+
+  // Must be called when this process begins to end: from now on the gate
+  // admits only requests that are expected to have run by `end`.
+  void EndBy(base::steady_instant end);
+
   // Stops admitting requests, whatever the server reports.
   void Close();
 
@@ -198,6 +210,7 @@
   backend_servers::connection_pool pool_;
   decisions::ranked_admission admission_;  // To the server's slots.
   decisions::transfer_queue transfers_;    // Of large bodies over the link.
+  pending_offers pending_;
   turn_waiters waiters_;
   net::steady_timer turn_timer_;
   std::multiset<std::string, std::less<>> running_;  // Request ids.
--- a/src/proxy/gate_endpoint.cc
+++ b/src/proxy/gate_endpoint.cc
@@ -1,7 +1,9 @@
 #include "proxy/gate_endpoint.h"
 
+#include <chrono>
 #include <utility>
 
+#include "proxy/deadline_notice.h"
 #include "proxy/quota_exchange.h"
 #include "proxy/suspect_exchange.h"
 #include "proxy/suspect_headers.h"
@@ -25,6 +27,9 @@
     }
     co_return options_.suspects(call.request);
   }
+  if (backend_servers::ToView(call.request.target()) == kDeadlinesPath) {
+    co_return TakeDeadlines(call.request);
+  }
   auto offer =
       ParseOffer(backend_servers::HeaderOf(call.request, kOfferHeader));
   if (!offer) {
@@ -36,6 +41,18 @@
   co_return message;
 }
 
+http_response gate_endpoint::TakeDeadlines(
+    const backend_servers::http_request& request) {
+  const auto notice = ParseDeadlineNotice(request.body());
+  http_response answer(notice ? http::status::ok : http::status::bad_request,
+                       11);
+  answer.prepare_payload();
+  if (!notice) return answer;
+  options_.local_gate->Shorten(notice->request_ids,
+                               std::chrono::steady_clock::now() + notice->left);
+  return answer;
+}
+
 net::awaitable<http_response> gate_endpoint::RunOffer(const call_offer& offer,
                                                       served_call& call) {
   // Reading a deferred body replaces the whole request, so the offer and the
--- a/src/proxy/gate_endpoint.h
+++ b/src/proxy/gate_endpoint.h
@@ -33,6 +33,9 @@
   net::awaitable<backend_servers::http_response> Serve(served_call& call);
 
  private:
+  // Takes in that requests have less time than was said.
+  backend_servers::http_response TakeDeadlines(
+      const backend_servers::http_request& request);
   net::awaitable<backend_servers::http_response> RunOffer(
       const call_offer& offer, served_call& call);
 
--- a/src/proxy/listener.cc
+++ b/src/proxy/listener.cc
@@ -99,6 +99,7 @@
   tcp::acceptor acceptor;
   std::set<std::shared_ptr<connection>> idle;  // Between two requests.
   int active_requests = 0;
+  int closing_connections = 0;
   int connections = 0;
   bool allow_keep_alive = true;
   bool closed = false;
@@ -266,7 +267,9 @@
     --active_requests;
     if (write_error) co_return;
     if (!keeps_open) {
+      ++closing_connections;
       co_await LingeringClose(*client);
+      --closing_connections;
       co_return;
     }
   }
@@ -338,4 +341,6 @@
 
 int listener::ActiveRequests() const { return state_->active_requests; }
 
+int listener::ClosingConnections() const { return state_->closing_connections; }
+
 }  // namespace fireflyspar::proxy
--- a/src/proxy/listener.h
+++ b/src/proxy/listener.h
@@ -74,6 +74,10 @@
   // Returns the number of requests that are being read, handled or answered.
   int ActiveRequests() const;
 
+  // Returns the number of connections whose last answer was written, and may
+  // still be on its way.
+  int ClosingConnections() const;
+
  private:
   struct state;
   std::shared_ptr<state> state_;
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -56,6 +56,7 @@
 router::router(router_options options)
     : options_(std::move(options)),
       gates_(options_.executor),
+      deadlines_(options_.executor),
       answers_({.headers = options_.headers,
                 .metrics = options_.metrics,
                 .log = options_.log}),
@@ -91,12 +92,29 @@
   notices_.KeepOnly(*options_.directory);
 }
 
+void router::AnswerBy(base::steady_instant end) {
+  end_ = end;
+  open_.Shorten(end_);
+  TellGates();
+}
+
+void router::TellGates() {
+  const auto left = std::chrono::duration_cast<base::duration>(
+      std::max(end_ - steady::now(), steady::duration(0)));
+  for (const auto& [gate, request_ids] : open_.WithOutdatedGate()) {
+    if (gate.is_local) {
+      options_.local_gate->Shorten(request_ids, end_);
+    } else {
+      deadlines_.Send(gate.address, {.left = left, .request_ids = request_ids});
+    }
+  }
+}
+
 net::awaitable<http_response> router::Route(served_call& call) {
-  request_context context{.call = &call,
-                          .routes = routes_,
-                          .request_id = std::string(HeaderOf(
-                              call.request, options_.headers.request_id)),
-                          .begun = steady::now()};
+  request_context context{
+      .call = &call, .routes = routes_, .begun = steady::now()};
+  context.open.id = HeaderOf(call.request, options_.headers.request_id);
+  const open_requests::entry entry(open_, context.open, *call.cancel);
   if (!routes_) {
     co_return answers_.Refuse(call.request, error_kind::kNotReady,
                               "no configuration yet", 0);
@@ -111,7 +129,7 @@
     co_return answers_.Refuse(call.request, error_kind::kNotReady,
                               "the route can't be read", Version());
   }
-  context.is_nested_call = IsNestedCall(context.request_id);
+  context.is_nested_call = IsNestedCall(context.open.id);
   const access_result access =
       access_.Check(call.request, *context.route, context.is_nested_call);
   if (access.refusal) {
@@ -129,7 +147,7 @@
   const milliseconds allowed =
       requested_timeout ? std::min(*requested_timeout, context.route->timeout)
                         : context.route->timeout;
-  context.deadline =
+  context.open.deadline =
       std::min<base::steady_instant>(context.begun + allowed, end_);
   const base::duration spent =
       requested_timeout ? caller_timeouts_.EstimateElapsed(context.route->name,
@@ -182,7 +200,7 @@
 }
 
 request_report router::ReportOf(const request_context& context) {
-  return {.request_id = context.request_id,
+  return {.request_id = context.open.id,
           .route = context.route,
           .service = context.service,
           .is_nested_call = context.is_nested_call,
@@ -246,7 +264,7 @@
   if (known == nullptr) return refused;
   refused.wait = TimeLeft(*known, steady::now());
   CountWithheld(*options_.metrics, "router");
-  LogWithheld(*options_.log, context.request_id, *known);
+  LogWithheld(*options_.log, context.open.id, *known);
   return refused;
 }
 
@@ -255,9 +273,10 @@
       outcome.end == gate_outcome_kind::kUnknown || IsServerError(outcome);
   if (!is_retryable_outcome || !context.route->is_idempotent) return false;
   if (context.runs >= context.route->max_attempts) return false;
-  if (context.call->cancel->IsCancelled()) return false;
+  if (context.open.cancel.IsCancelled()) return false;
   const auto now = steady::now();
-  if (now + typical_durations_.Of(*context.route) > context.deadline) return false;
+  if (now + typical_durations_.Of(*context.route) > context.open.deadline)
+    return false;
   const std::string version =
       options_.rollout_states->ChooseVersion(context.service);
   if (IsWithheld(context, version)) return false;
@@ -275,7 +294,10 @@
       last.end = gate_outcome_kind::kCancelled;
       co_return last;
     }
-    if (steady::now() >= context.deadline) {
+    if (context.open.cancel.IsCancelled()) {
+      co_return NotRun(error_kind::kDraining, "this proxy is ending");
+    }
+    if (steady::now() >= context.open.deadline) {
       last = NotRun(error_kind::kDeadlinePassed, "no time is left");
       co_return last;
     }
@@ -414,7 +436,7 @@
       .is_nested_call = context.is_nested_call,
       .priority = context.priority,
       .wait_limit = WaitLimit(context),
-      .left = left(context.deadline),
+      .left = left(context.open.deadline),
       .time_to_objective = left(context.objective),
       .typical_duration = typical_durations_.Of(*context.route),
       .body_bytes = context.call->request.body().size(),
@@ -427,12 +449,15 @@
   {
     http_request request(context.call->request.base());
     const body_loan lent(context.call->request, request);
+    const offer_in_progress in_progress(
+        context.open, {.is_local = offer.is_local, .address = entry.gate});
     if (offer.is_local) {
       outcome = co_await options_.local_gate->Run(offer, request, nullptr,
-                                                  *context.call->cancel);
+                                                  context.open.cancel);
     } else {
-      outcome = co_await gates_.Offer(entry.gate, offer, request,
-                                      context.deadline, *context.call->cancel);
+      outcome =
+          co_await gates_.Offer(entry.gate, offer, request,
+                                context.open.deadline, context.open.cancel);
     }
   }
   choice_.OnEnd(entry.instance);
@@ -442,11 +467,12 @@
 
 base::duration router::WaitLimit(const request_context& context) const {
   if (context.offers.MayWait()) {
-    return std::chrono::duration_cast<base::duration>(context.deadline -
+    return std::chrono::duration_cast<base::duration>(context.open.deadline -
                                                       context.begun);
   }
   return base::duration(static_cast<std::int64_t>(
-      static_cast<double>(typical_durations_.Of(*context.route).count()) * kFirstWaitLimit));
+      static_cast<double>(typical_durations_.Of(*context.route).count()) *
+      kFirstWaitLimit));
 }
 
 void router::RecordOutcome(const request_context& context,
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -25,12 +25,14 @@
 #include "decisions/shared_retry_budget.h"
 #include "decisions/typical_durations.h"
 #include "proxy/caller_answers.h"
+#include "proxy/deadline_notice.h"
 #include "proxy/gate.h"
 #include "proxy/gate_client.h"
 #include "proxy/gate_reachability.h"
 #include "proxy/header_names.h"
 #include "proxy/listener.h"
 #include "proxy/notice_book.h"
+#include "proxy/open_requests.h"
 #include "proxy/organisation_access.h"
 #include "proxy/quota_exchange.h"
 #include "proxy/rollouts.h"
@@ -79,9 +81,19 @@
 
   net::awaitable<backend_servers::http_response> Route(served_call& call);
 
-  // Must be called when the process begins to end: a request that arrives from
-  // now on gets its answer by `end`, so that none is cut off.
-  void AnswerBy(base::steady_instant end) { end_ = end; }
+  // Must be called when the process begins to end: requests get their answers
+  // by `end`, so that none is cut off. One that can't have a turn at a server
+  // before then is refused as soon as that is known.
+  void AnswerBy(base::steady_instant end);
+
+  // Tells the gates of requests from before AnswerBy how much time is left.
+  // Must be called a few times a second from then on, since messages may be
+  // lost.
+  void TellGates();
+
+  // Answers all requests at once whose outcome is still open: their outcome is
+  // unknown, unless they were not offered to a gate.
+  void Abort() { open_.CancelAll(); }
 
   // Refuses callers' requests from now on. The backend server on this instance
   // can still make nested calls for the requests that it is running.
@@ -102,10 +114,10 @@
     std::shared_ptr<const decisions::route_index> routes;
     const config::mesh_route* route = nullptr;
     std::string service;
-    std::string request_id;
+    // Its deadline is the earliest of the caller's, the route's and the
+    // process's own end.
+    open_request open;
     base::steady_instant begun;
-    // The earlier of the caller's deadline and the route's.
-    base::steady_instant deadline;
     base::steady_instant objective;  // A response after this is late.
     bool is_nested_call = false;
     int priority = 0;  // Of the organisation, if any, and of the route.
@@ -159,7 +171,9 @@
   router_options options_;
   bool is_draining_ = false;
   base::steady_instant end_ = base::steady_instant::max();
+  open_requests open_;
   gate_client gates_;
+  deadline_notifier deadlines_;
   std::shared_ptr<const decisions::route_index> routes_;
   caller_answers answers_;
   organisation_access access_;
--- a/tests/decisions/ranked_admission_test.cc
+++ b/tests/decisions/ranked_admission_test.cc
@@ -388,5 +388,45 @@
   CHECK(gate.ProcessQueue(kStart).size() == 2);
 }
 
+// Guards against requests that wait for a turn which they can't have any more:
+// the process that they came to ends.
+TEST_CASE("a queued request with less time is refused once it has no turn") {
+  ranked_admission gate = Full(1);
+  admission_request request = Request({.ticket = 1});
+  for (; request.ticket <= 4; ++request.ticket) gate.Enter(request, kStart);
+  REQUIRE(gate.Waiting() == 4);
+  // Each takes 100 ms: the third would end after 400 ms.
+  for (const std::uint64_t ticket : {2U, 3U}) {
+    gate.Shorten(ticket, kStart + milliseconds(350));
+  }
+  const auto ended = gate.ProcessQueue(kStart);
+  REQUIRE(ended.size() == 1);
+  CHECK(ended.front().ticket == 3);
+  CHECK(ended.front().result.choice == admission_choice::kRefuse);
+  CHECK(ended.front().result.wait > base::duration(0));
+  CHECK(gate.Waiting() == 3);
+}
+
+TEST_CASE("a queued request that others overtake is refused before its end") {
+  ranked_admission gate = Full(1);
+  gate.Enter(Request({.ticket = 1, .priority = 2}), kStart);
+  gate.Shorten(1, kStart + milliseconds(1000));
+  CHECK(gate.ProcessQueue(kStart).empty());
+  // It has waited four times as long as was expected, and is still no nearer.
+  const auto later = kStart + milliseconds(400);
+  const auto after = kStart + milliseconds(600);
+  CHECK(gate.ProcessQueue(later).empty());
+  CHECK(gate.ProcessQueue(after).size() == 1);
+}
+
+TEST_CASE("a queued request is only ever given less time") {
+  ranked_admission gate = Full(1);
+  gate.Enter(Request({.ticket = 1}), kStart);
+  gate.Shorten(1, kStart + milliseconds(250));
+  gate.Shorten(1, kStart + milliseconds(1500));
+  gate.Shorten(7, kStart);
+  CHECK(gate.ProcessQueue(kStart + milliseconds(200)).size() == 1);
+}
+
 }  // namespace
 }  // namespace fireflyspar::decisions
--- a/tests/decisions/transfer_queue_test.cc
+++ b/tests/decisions/transfer_queue_test.cc
@@ -163,5 +163,21 @@
   CHECK(link.BytesPerSecond() == kBytesPerSecond);
 }
 
+// Guards against uploads that wait for the link until their process is gone.
+TEST_CASE("a queued body with less time is refused once it has no turn") {
+  transfer_queue link = SlowLink();
+  for (std::uint64_t ticket = 1; ticket <= 4; ++ticket) {
+    link.Enter(Body(ticket), kStart);
+  }
+  // Two are under way for 100 ms; the last would be used after 300 ms.
+  for (const std::uint64_t ticket : {3U, 4U}) {
+    link.Shorten(ticket, kStart + milliseconds(280));
+  }
+  const auto ended = link.ProcessQueue(kStart);
+  REQUIRE(ended.size() == 1);
+  CHECK(ended.front().ticket == 4);
+  CHECK(ended.front().result.choice == admission_choice::kRefuse);
+}
+
 }  // namespace
 }  // namespace fireflyspar::decisions
--- a/tests/proxy/router_test.cc
+++ b/tests/proxy/router_test.cc
@@ -4,10 +4,15 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <cstdlib>
+#include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace fireflyspar::proxy {
 namespace {
@@ -56,11 +61,34 @@
     ++runs;
     // The server's connection ends without an answer.
     if (loses_answers) call.cancel->Cancel();
+    net::steady_timer timer(loop, work);
+    co_await timer.async_wait(net::use_awaitable);
     backend_servers::http_response answer(http::status::ok, 11);
     answer.prepare_payload();
     co_return answer;
   }
 
+  // Begins a request; `on_end` gets the status of its answer.
+  void Begin(std::function<void(unsigned)> on_end) {
+    const auto call = std::make_shared<served_call>();
+    call->cancel = std::make_shared<backend_servers::cancellation>();
+    call->request = {http::verb::get, "/p/x", 11};
+    call->request.set(http::field::host, "a.example");
+    call->request.set("Request-Id", "id-" + std::to_string(++last_id));
+    net::co_spawn(
+        loop,
+        [this, call, on_end]() -> net::awaitable<void> {
+          const auto answer = co_await tested.Route(*call);
+          on_end(answer.result_int());
+        },
+        net::detached);
+  }
+
+  void RunFor(milliseconds span) {
+    loop.restart();
+    loop.run_for(span);
+  }
+
   // Sends one request through the router; returns the status of its answer.
   unsigned Send() {
     unsigned status = 0;
@@ -84,7 +112,9 @@
   base::address address = FreeAddress(loop);
   int given_ms = -1;
   int runs = 0;
+  int last_id = 0;
   bool loses_answers = false;
+  milliseconds work{0};  // Of the server, for each request.
   header_names headers{.request_id = "Request-Id",
                        .deadline_ms = kDeadlineHeader,
                        .caller_service = "Caller-Service",
@@ -138,6 +168,40 @@
   CHECK(fixture.given_ms <= 1000);
 }
 
+// Guards against connections that are closed without an answer: the requests
+// were there before their process was told to end.
+TEST_CASE(
+    "a request that waits when the process begins to end has its answer") {
+  router_fixture fixture;
+  fixture.work = seconds(2);
+  std::vector<unsigned> statuses;
+  // The server has two slots.
+  for (int request = 0; request < 3; ++request) {
+    fixture.Begin([&](unsigned status) { statuses.push_back(status); });
+  }
+  fixture.RunFor(milliseconds(100));
+  fixture.tested.AnswerBy(std::chrono::steady_clock::now() + seconds(1));
+  fixture.RunFor(milliseconds(100));
+  CHECK(statuses == std::vector<unsigned>{503});
+  // Those at which the server works are not broken off.
+  fixture.RunFor(seconds(3));
+  CHECK(statuses == std::vector<unsigned>{503, 200, 200});
+  CHECK(fixture.runs == 2);
+}
+
+// Guards against "not run" for a request that the server runs.
+TEST_CASE("a request that is aborted at the server has no known outcome") {
+  router_fixture fixture;
+  fixture.work = seconds(2);
+  unsigned ended = 0;
+  fixture.Begin([&](unsigned status) { ended = status; });
+  fixture.RunFor(milliseconds(100));
+  REQUIRE(fixture.runs == 1);
+  fixture.tested.Abort();
+  fixture.RunFor(milliseconds(100));
+  CHECK(ended == 502);
+}
+
 TEST_CASE("a request that arrives after that time is refused as not run") {
   router_fixture fixture;
   fixture.tested.AnswerBy(std::chrono::steady_clock::now());
