Read lists in which another writer left an odd value

What callers could see: processes that know no new server and forget none that is gone. One entry among those of the servers that was nested deeper than 64, or that held an integer beyond 64 bits, an undefined value or a map whose keys are no texts, made the whole answer of the store unreadable: lists and watches failed for as long as it stood there.

Cause: the limit on the depth, and what the CBOR decoder rejects, held for the whole document.

Evidence: "an odd entry costs itself alone" failed on: an entry written beside the odd one was not known after 60 s.

--- a/src/config/json_document.cc
+++ b/src/config/json_document.cc
@@ -20,11 +20,6 @@
   return text.substr(0, limit);
 }
 
-// Serialises a value as JSON. Bytes that are not UTF-8 become U+FFFD.
-std::string Dump(const json& value) {
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 // Builds the document from the parser's events. Reports duplicate keys and
 // excessive nesting, which the default parser accepts.
 class document_builder : public nlohmann::json_sax<json> {
@@ -50,7 +45,7 @@
 
   bool key(std::string& name) override {
     if (open_.back().value->contains(name)) {
-      out_.push_back({PointerTo(CurrentPointer(), name), Dump(name),
+      out_.push_back({PointerTo(CurrentPointer(), name), DumpJson(name),
                       "each key only once"});
     }
     open_.back().key = std::move(name);
@@ -70,7 +65,7 @@
     const std::string expected =
         error.id == kNumberOverflow ? "a number that fits in 64 bits" : "JSON";
     out_.push_back(
-        {CurrentPointer(), Dump(CutText(text_.substr(at), kExcerptBytes)),
+        {CurrentPointer(), DumpJson(CutText(text_.substr(at), kExcerptBytes)),
          expected + " in UTF-8 at line " + std::to_string(lines + 1) +
              ", byte " + std::to_string(at - line_start + 1)});
     return false;
@@ -160,6 +155,10 @@
 
 }  // namespace
 
+std::string DumpJson(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 std::optional<json> ReadJson(std::string_view text, std::size_t max_bytes,
                              validation_errors& out) {
   if (text.size() > max_bytes) {
@@ -192,7 +191,7 @@
 }
 
 std::string Excerpt(const json& value) {
-  const std::string text = Dump(value);
+  const std::string text = DumpJson(value);
   const std::string_view cut = CutText(text, kExcerptBytes);
   return cut.size() == text.size() ? text : std::string(cut) + "...";
 }
--- a/src/config/json_document.h
+++ b/src/config/json_document.h
@@ -36,6 +36,10 @@
 std::string PointerTo(std::string_view at, std::string_view token);
 std::string PointerTo(std::string_view at, std::size_t index);
 
+// Returns the value as one line of JSON. Never fails: bytes that are not UTF-8
+// become U+FFFD.
+std::string DumpJson(const nlohmann::json& value);
+
 // Returns a value as it is shown in an error: JSON text, cut to be readable.
 std::string Excerpt(const nlohmann::json& value);
 
--- a/src/proxy/shared_objects.cc
+++ b/src/proxy/shared_objects.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "base/cbor_depth.h"
+#include "config/cbor_document.h"
 
 namespace fireflyspar::proxy {
 namespace {
@@ -21,9 +21,6 @@
 constexpr unsigned kByteBits = 8;
 constexpr unsigned kByteMask = 0xff;
 
-// Documents nest about five deep.
-constexpr std::size_t kMaxDepth = 64;
-
 std::size_t IndexOf(shared_kind kind) { return static_cast<std::size_t>(kind); }
 
 json ToJson(const store_revision& revision) {
@@ -120,12 +117,7 @@
   const auto malformed = [](std::string detail) {
     return base::Fail(base::error_kind::kMalformedMessage, std::move(detail));
   };
-  if (base::ExceedsCborDepth(bytes, kMaxDepth)) {
-    return malformed("the peer's objects are nested too deep");
-  }
-  constexpr bool kNothingMayFollow = true;
-  constexpr bool kThrows = false;
-  json list = json::from_cbor(bytes, kNothingMayFollow, kThrows);
+  json list = config::DecodeCbor(bytes);
   if (!list.is_array()) return malformed("the peer's objects are no list");
   std::vector<stored_object> objects;
   for (json& each : list) {
--- a/tests/adapter/fake_store.cc
+++ b/tests/adapter/fake_store.cc
@@ -27,14 +27,6 @@
   return probe.local_endpoint().port();
 }
 
-http_response Answer(unsigned status, const json& body) {
-  http_response answer(http::int_to_status(status), 11);
-  answer.set(http::field::content_type, kBodyType);
-  answer.body() = EncodeBody(body);
-  answer.prepare_payload();
-  return answer;
-}
-
 std::uint64_t RevisionOf(const json& object) {
   return object["metadata"]["revision"].get<std::uint64_t>();
 }
@@ -52,6 +44,31 @@
   if (!started) throw std::runtime_error(started.Failure().detail);
 }
 
+http_response fake_store::Answer(unsigned status, const json& body) const {
+  http_response answer(http::int_to_status(status), 11);
+  answer.set(http::field::content_type, kBodyType);
+  std::string bytes = EncodeBody(body);
+  for (const odd_value& each : odd_values_) {
+    const std::string encoded = EncodeBody(each.placeholder);
+    for (std::size_t at = bytes.find(encoded); at != std::string::npos;
+         at = bytes.find(encoded, at + each.bytes.size())) {
+      bytes.replace(at, encoded.size(), each.bytes);
+    }
+  }
+  answer.body() = std::move(bytes);
+  answer.prepare_payload();
+  return answer;
+}
+
+std::uint64_t fake_store::PutBytes(const std::string& kind,
+                                   const std::string& name,
+                                   const std::string& spec) {
+  const std::string placeholder =
+      "placeholder " + std::to_string(odd_values_.size());
+  odd_values_.push_back({.placeholder = placeholder, .bytes = spec});
+  return Put(kind, name, placeholder);
+}
+
 std::uint64_t fake_store::Put(const std::string& kind, const std::string& name,
                               const json& spec) {
   const auto known = Find(kind, name);
--- a/tests/adapter/fake_store.h
+++ b/tests/adapter/fake_store.h
@@ -31,6 +31,10 @@
                     const nlohmann::json& spec);
   void Remove(const std::string& kind, const std::string& name);
 
+  // The same with CBOR bytes that this program would not write.
+  std::uint64_t PutBytes(const std::string& kind, const std::string& name,
+                         const std::string& spec);
+
   // Answers the next `calls` calls with this status and does not execute them.
   void Refuse(unsigned status, int calls) {
     refusal_ = status;
@@ -57,6 +61,12 @@
                                      const std::string& name) const;
 
  private:
+  // CBOR bytes that stand for a text in the bodies of answers.
+  struct odd_value {
+    std::string placeholder;
+    std::string bytes;
+  };
+
   struct event {
     std::uint64_t revision = 0;
     std::string kind;
@@ -78,6 +88,9 @@
 
   static call_parts Parse(std::string_view target);
 
+  backend_servers::http_response Answer(unsigned status,
+                                        const nlohmann::json& body) const;
+
   net::awaitable<backend_servers::http_response> Serve(
       proxy::served_call& call);
   net::awaitable<backend_servers::http_response> Execute(
@@ -103,6 +116,7 @@
   int refusals_left_ = 0;
   bool loses_answer_ = false;
   std::vector<std::string> targets_;
+  std::vector<odd_value> odd_values_;
 };
 
 }  // namespace fireflyspar::platform
--- a/tests/adapter/store_follower_test.cc
+++ b/tests/adapter/store_follower_test.cc
@@ -261,6 +261,38 @@
   CHECK(f.RunUntil([&] { return !f.evacuations.IsEvacuated("east"); }));
 }
 
+// CBOR that other writers may leave in place of an entry.
+std::string OddEntry() {
+  using namespace std::string_literals;
+  return GENERATE(
+      std::string(100'000, '\x81') + "\x01",         // Nested deep.
+      std::string(63, '\x81') + "\x01",              // Just too deep.
+      "\xa1\x65slots\xc2\x49\x01\0\0\0\0\0\0\0\0"s,  // Over 64 bits.
+      "\xa1\x65slots\x3b\x80\0\0\0\0\0\0\0"s,        // Below them.
+      "\xf7"s, "\xa1\x01\x02"s, "\x62\xff\xfe"s);    // Unknown values.
+}
+
+// Guards against processes that end, or that follow the list no longer, for one
+// odd entry in it: no new server is known then, and none that is gone
+// forgotten.
+TEST_CASE("an odd entry costs itself alone") {
+  drill_fixture f(8);
+  const std::string odd = OddEntry();
+  const bool is_there_at_start = GENERATE(true, false);
+  if (is_there_at_start) f.store.PutBytes(kEntryKind, "n0", odd);
+  REQUIRE(f.RunUntil([&] { return f.HasOwnEntry(); }));
+  if (!is_there_at_start) f.store.PutBytes(kEntryKind, "n0", odd);
+  decisions::server_entry other = f.OwnEntry();
+  other.instance = "n2";
+  other.gate.port = 7601;
+  f.store.Put(kEntryKind, "n2", proxy::ToJson(other));
+  const auto is_known = [&] { return f.directory.Entries().contains("n2"); };
+  CHECK(f.RunUntil(is_known));
+  CHECK_FALSE(f.directory.Entries().contains("n0"));
+  f.store.Remove(kEntryKind, "n2");
+  CHECK(f.RunUntil([&] { return !is_known(); }));
+}
+
 // Several drills at random moments, with changes in between.
 TEST_CASE("nothing goes back in a series of restores") {
   const unsigned seed = GENERATE(21, 22, 23, 24);
