Refuse numbers, ports and names out of range from other writers

A server's id with other bytes than UTF-8 comes from the path of its heartbeat and ended the work that publishes its entry each time it was to be logged.

Ages in stored decisions can no longer overflow.

--- a/src/app/entry_publisher.cc
+++ b/src/app/entry_publisher.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 
 #include "base/retry_delay.h"
+#include "config/json_document.h"
 #include "proxy/server_entry_json.h"
 
 namespace fireflyspar::app {
@@ -59,7 +60,7 @@
   const auto written =
       co_await options_.store->put_content(options_.kind, object);
   options_.log->Write(event_priority::kStateChange, "entry_written",
-                      {{"entry", object.content.dump()},
+                      {{"entry", config::DumpJson(object.content)},
                        {"result", base::NameOfResult(written)}});
   if (written) {
     stored_ = *written;
--- a/src/app/rollout_writer.cc
+++ b/src/app/rollout_writer.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 
+#include "config/json_document.h"
+
 namespace fireflyspar::app {
 namespace {
 
@@ -89,7 +91,7 @@
         options_.adapter->names.rollout_kind, object);
     options_.log->Write(event_priority::kStateChange, "rollout_state_written",
                         {{"service", order.service},
-                         {"state", object.status.dump()},
+                         {"state", config::DumpJson(object.status)},
                          {"result", base::NameOfResult(written)}});
     if (written) {
       OnObject(*written);
--- a/src/app/withheld_requests.cc
+++ b/src/app/withheld_requests.cc
@@ -85,9 +85,11 @@
   const auto now = steady::now();
   std::optional<suspect> stored;
   if (has_parts) {
-    const milliseconds age(std::clamp<std::int64_t>(
-        NowMs() - content[kWrittenKey].get<std::int64_t>(), 0,
-        milliseconds(kMaxAge).count()));
+    const std::int64_t now_ms = NowMs();
+    const std::int64_t written_ms = std::clamp<std::int64_t>(
+        content[kWrittenKey].get<std::int64_t>(),
+        now_ms - milliseconds(kMaxAge).count(), now_ms);
+    const milliseconds age(now_ms - written_ms);
     stored = proxy::ParseSuspect(content[kSuspectKey], now - age);
   }
   if (!stored || NameOf(*stored) != object.name) {
--- a/src/proxy/server_entry_json.cc
+++ b/src/proxy/server_entry_json.cc
@@ -1,8 +1,11 @@
 #include "proxy/server_entry_json.h"
 
+#include <limits>
 #include <string>
 #include <string_view>
 
+#include "base/utf8.h"
+
 namespace fireflyspar::proxy {
 namespace {
 
@@ -15,16 +18,26 @@
 
 constexpr int kMaxSlots = 100'000;
 
+// Texts of an entry are names.
+constexpr std::size_t kMaxTextBytes = 256;
+
 std::optional<std::string> GetString(const json& object, const char* key) {
   const auto found = object.find(key);
   if (found == object.end() || !found->is_string()) return std::nullopt;
-  return found->get<std::string>();
+  const auto& text = found->get_ref<const std::string&>();
+  const bool is_name = text.size() <= kMaxTextBytes && base::IsUtf8(text);
+  return is_name ? std::optional(text) : std::nullopt;
 }
 
-std::optional<std::int64_t> GetInteger(const json& object, const char* key) {
+// Returns a whole number from zero to `max`.
+std::optional<std::int64_t> GetInteger(const json& object, const char* key,
+                                       std::int64_t max) {
   const auto found = object.find(key);
   if (found == object.end() || !found->is_number_integer()) return std::nullopt;
-  return found->get<std::int64_t>();
+  // A number beyond the signed type becomes negative.
+  const auto number = found->get<std::int64_t>();
+  const bool is_in_range = number >= 0 && number <= max;
+  return is_in_range ? std::optional(number) : std::nullopt;
 }
 
 std::optional<server_condition> ParseCondition(std::string_view name) {
@@ -58,9 +71,10 @@
   const auto server = GetString(content, "server");
   const auto service = GetString(content, "service");
   const auto version = GetString(content, "version");
-  const auto slots = GetInteger(content, "slots");
+  const auto slots = GetInteger(content, "slots", kMaxSlots);
   const auto condition = GetString(content, "condition");
-  const auto born = GetInteger(content, "born_ms");
+  const auto born =
+      GetInteger(content, "born_ms", std::numeric_limits<std::int64_t>::max());
   const bool has_all = instance && data_centre && gate && server && service &&
                        version && slots && condition && born;
   if (!has_all || *instance != name || server->empty() || service->empty()) {
@@ -68,9 +82,8 @@
   }
   const auto address = base::ParseAddress(*gate);
   const auto parsed_condition = ParseCondition(*condition);
-  if (!address || !parsed_condition || *slots < 1 || *slots > kMaxSlots) {
-    return std::nullopt;
-  }
+  const bool has_address = address && address->port != 0;
+  if (!has_address || !parsed_condition || *slots < 1) return std::nullopt;
   return server_entry{.instance = *instance,
                       .data_centre = *data_centre,
                       .gate = *address,
--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -64,6 +64,18 @@
   CHECK(listed->objects.back().content == json{{"n", "e"}});
 }
 
+// Guards against a list that can't be read on: the name that it goes on from
+// was chosen by another writer.
+TEST_CASE("a list goes on after a name that no request can hold") {
+  client_fixture fixture;
+  fixture.store.SetPageSize(1);
+  fixture.store.Put(kKind, "a b\r\n?&#/", {{"n", 1}});
+  fixture.store.Put(kKind, "c", {{"n", 2}});
+  fixture.Wait(fixture.hooks.list(kKind, false));
+  CHECK(fixture.store.Targets().back().ends_with(
+      "?after=a%20b%0D%0A%3F%26%23%2F"));
+}
+
 TEST_CASE("a kind without objects is an empty list") {
   client_fixture fixture;
   const auto listed = fixture.Wait(fixture.hooks.list(kKind, false));
--- a/tests/adapter/store_follower_test.cc
+++ b/tests/adapter/store_follower_test.cc
@@ -293,6 +293,31 @@
   CHECK(f.RunUntil([&] { return !is_known(); }));
 }
 
+// Guards against the same by fields that can be decoded: each has a value that
+// no entry can have.
+TEST_CASE("an entry with a value out of range names no server") {
+  const json valid = proxy::ToJson(drill_fixture::OwnEntry());
+  REQUIRE(proxy::ParseEntry(kInstance, valid));
+  const auto reads = [&](const char* field, const json& value) {
+    json changed = valid;
+    changed[field] = value;
+    return proxy::ParseEntry(kInstance, changed).has_value();
+  };
+  for (const char* port : {"0", "65536", "99999", "+80", "-1", "", "80 "}) {
+    CAPTURE(port);
+    CHECK_FALSE(reads("gate", std::string("10.0.0.1:") + port));
+  }
+  for (const json& number : {json(-1), json(std::uint64_t{1} << 63), json(0.5),
+                             json(1e300), json("6"), json(nullptr)}) {
+    CAPTURE(number.dump());
+    CHECK_FALSE(reads("slots", number));
+    CHECK_FALSE(reads("born_ms", number));
+  }
+  CHECK_FALSE(reads("slots", 0));
+  CHECK_FALSE(reads("service", "\xff\xfe"));
+  CHECK_FALSE(reads("version", std::string(100'000, 'v')));
+}
+
 // Several drills at random moments, with changes in between.
 TEST_CASE("nothing goes back in a series of restores") {
   const unsigned seed = GENERATE(21, 22, 23, 24);
--- a/tests/adapter/unknown_values_test.cc
+++ b/tests/adapter/unknown_values_test.cc
@@ -132,6 +132,32 @@
   });
 }
 
+// Guards against a server that is gone for its process, whose true reports come
+// later but count as earlier, and against logs that can't be written.
+TEST_CASE("a heartbeat with a number out of range is refused") {
+  const json heartbeat = json::parse(
+      R"({"address":"10.0.0.9:8080","born":1790000000000,)"
+      R"("info":{"service":"stock","version":"v1","zone":"z","slots":6},)"
+      R"("status":{"state":"ready","seq":4,"cold_left":"1500ms"}})");
+  const auto reads = [&](const char* pointer, const json& value) {
+    json changed = heartbeat;
+    changed[json::json_pointer(pointer)] = value;
+    return DecodeHeartbeat("i-1", EncodeBody(changed)).Ok();
+  };
+  CHECK(reads("/status/seq", 5));
+  CHECK_FALSE(reads("/status/seq", -1));
+  CHECK_FALSE(reads("/status/seq", std::uint64_t{1} << 63));
+  CHECK_FALSE(reads("/status/seq", 1.5));
+  CHECK_FALSE(reads("/born", -1));
+  CHECK_FALSE(reads("/born", std::int64_t{1} << 62));
+  CHECK_FALSE(reads("/info/slots", 0));
+  CHECK_FALSE(reads("/info/slots", 1e300));
+  for (const char* port : {"0", "65536", "99999", "+80", "-1", "", "80 "}) {
+    CAPTURE(port);
+    CHECK_FALSE(reads("/address", std::string("10.0.0.9:") + port));
+  }
+}
+
 TEST_CASE("a changed heartbeat or rollout is read whole or refused") {
   const json heartbeat = json::parse(
       R"({"address":"10.0.0.9:8080","born":1790000000000,)"
