--- a/src/backend_servers/connection_pool.cc
+++ b/src/backend_servers/connection_pool.cc
@@ -38,8 +38,9 @@
     idle_connection taken = std::move(*each);
     held.erase(each);
     const bool within_max_idle = now - taken.since <= taken.max_idle;
-    if (within_max_idle && IsReusable(*taken.held))
+    if (within_max_idle && IsReusable(*taken.held)) {
       return std::move(taken.held);
+    }
   }
   if (held.empty()) idle_.erase(found);
   return nullptr;
--- a/src/base/readable_cbor.cc
+++ b/src/base/readable_cbor.cc
@@ -253,7 +253,9 @@
     while (!open_.empty()) {
       open_value& in = open_.back();
       if (in.major == major_type::kMap) in.is_at_key = !in.is_at_key;
-      if (in.items_left == kUntilBreak || --in.items_left > 0) return;
+      if (in.items_left == kUntilBreak) return;
+      --in.items_left;
+      if (in.items_left > 0) return;
       open_.pop_back();
     }
     is_done_ = true;
@@ -319,7 +321,10 @@
 
   void EndSkippedItem() {
     while (!replaced_.empty()) {
-      if (replaced_.back() == kUntilBreak || --replaced_.back() > 0) return;
+      std::uint64_t& items_left = replaced_.back();
+      if (items_left == kUntilBreak) return;
+      --items_left;
+      if (items_left > 0) return;
       replaced_.pop_back();
     }
     EndItem();
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -275,8 +275,8 @@
   if (context.runs >= context.route->max_attempts) return false;
   if (context.open.cancel.IsCancelled()) return false;
   const auto now = steady::now();
-  if (now + typical_durations_.Of(*context.route) > context.open.deadline)
-    return false;
+  const auto expected_end = now + typical_durations_.Of(*context.route);
+  if (expected_end > context.open.deadline) return false;
   const std::string version =
       options_.rollout_states->ChooseVersion(context.service);
   if (IsWithheld(context, version)) return false;
--- a/tests/adapter/unknown_values_test.cc
+++ b/tests/adapter/unknown_values_test.cc
@@ -158,6 +158,21 @@
   }
 }
 
+// Guards against an entry that is never published: the id of its server, which
+// comes from the path, could not be logged.
+TEST_CASE("a heartbeat whose path holds no readable id is refused") {
+  const auto reads = [](const std::string& id) {
+    backend_servers::http_request call;
+    call.method(backend_servers::http::verb::post);
+    call.target("/instances/" + id + "/leave");
+    return DecodeServerMessage(call).Ok();
+  };
+  CHECK(reads("i-1"));
+  CHECK_FALSE(reads(""));
+  CHECK_FALSE(reads("\xff\xfe"));
+  CHECK_FALSE(reads(std::string(10'000, 'i')));
+}
+
 TEST_CASE("a changed heartbeat or rollout is read whole or refused") {
   const json heartbeat = json::parse(
       R"({"address":"10.0.0.9:8080","born":1790000000000,)"
--- a/tests/backend_servers/scripted_peer_test.cc
+++ b/tests/backend_servers/scripted_peer_test.cc
@@ -151,6 +151,23 @@
   CHECK(client.Connections() == 2);
 }
 
+// Guards against a new connection for each refusal: they cost a server that is
+// in trouble time, and are bounded in number.
+TEST_CASE(
+    "a request that was refused comes back on a connection that is open") {
+  peer_client client([](tcp::socket& socket,
+                        const peer_request& request) -> net::awaitable<void> {
+    co_await Write(socket, Answer(request.id, "refusal"));
+  });
+  constexpr int kRequests = 200;
+  for (int sent = 0; sent < kRequests; ++sent) {
+    const std::string id = "a" + std::to_string(sent);
+    client.Send(id);
+    client.Send(id);
+  }
+  CHECK(client.Connections() == 2);
+}
+
 // Guards against ids that take ever more memory on a connection that is never
 // closed.
 TEST_CASE("a connection is closed after a bounded number of requests") {
