--- a/src/backend_servers/answer_reader.cc
+++ b/src/backend_servers/answer_reader.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "backend_servers/answer_head.h"
+
 namespace fireflyspar::backend_servers {
 namespace {
 
@@ -35,6 +37,7 @@
     // passes over an error that it found in the head, such as a length above
     // the limit, and reserves the memory.
     co_await http::async_read_header(from_.stream, from_.buffer, *head, token);
+    if (!error) error = CheckHead(head->get().base());
     if (error) co_return error;
     const unsigned status = head->get().result_int();
     const bool is_final = status / kStatusesPerClass != kInformationalClass;
--- /dev/null
+++ b/tests/backend_servers/broken_answers_test.cc
@@ -0,0 +1,96 @@
+// Servers in trouble that send what is no answer. None of it may pass for one.
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "scripted_peer.h"
+
+namespace fireflyspar::backend_servers {
+namespace {
+
+using std::chrono::milliseconds;
+
+// What a peer sends in place of an answer, in pieces of this size.
+struct broken_answer {
+  std::string bytes;
+  std::size_t piece = std::string::npos;
+};
+
+net::awaitable<void> WriteInPieces(tcp::socket& socket,
+                                   const broken_answer& sent) {
+  socket.set_option(tcp::no_delay(true));
+  for (std::size_t at = 0; at < sent.bytes.size();) {
+    const std::string piece = sent.bytes.substr(at, sent.piece);
+    co_await Write(socket, piece);
+    at += piece.size();
+    if (at == sent.bytes.size()) break;
+    net::steady_timer pause(socket.get_executor(), milliseconds(1));
+    co_await pause.async_wait(net::use_awaitable);
+  }
+}
+
+// The connection and the kind of peer that a request meets.
+struct circumstances {
+  bool is_kept = false;  // The connection has carried another request.
+  bool from_proxy = false;
+};
+
+std::string WholeAnswer(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+         "\r\nContent-Length: 5\r\n\r\nwhole";
+}
+
+// Sends a request to a peer that answers it like this, and another request
+// after it, which gets a whole answer. Checks that the first has no answer and
+// that its connection is not used again.
+void CheckIsNoAnswer(const broken_answer& sent, const circumstances& at) {
+  CAPTURE(sent.bytes, sent.piece, at.is_kept, at.from_proxy);
+  peer_client client(
+      [&sent](tcp::socket& socket,
+              const peer_request& request) -> net::awaitable<void> {
+        if (request.id == "a") {
+          co_await WriteInPieces(socket, sent);
+          socket.shutdown(tcp::socket::shutdown_send);
+        } else {
+          co_await Write(socket, WholeAnswer(request.id));
+        }
+      });
+  if (at.from_proxy) client.ExpectProxy();
+  if (at.is_kept) client.Send("earlier");
+  const exchange_result ended = client.Send("a");
+  CHECK(ended.end == exchange_outcome::kBroken);
+  CHECK(ended.sent);
+  CHECK(ended.answer.body().empty());
+  CHECK(client.Send("later").answer.body() == "whole");
+  CHECK(client.Connections() == 2);
+}
+
+void CheckIsNoAnswer(const std::string& bytes) {
+  for (const bool is_kept : {false, true}) {
+    for (const bool from_proxy : {false, true}) {
+      CheckIsNoAnswer({.bytes = bytes},
+                      {.is_kept = is_kept, .from_proxy = from_proxy});
+    }
+  }
+  // The head may arrive in any pieces.
+  CheckIsNoAnswer({.bytes = bytes, .piece = 1}, {});
+}
+
+std::string WithStatusLine(const std::string& line) {
+  return line + "\r\nRequest-Id: a\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+// Guards against a caller that gets an answer whose status means nothing.
+TEST_CASE("an answer with an invalid status is no answer") {
+  const std::string status = GENERATE(
+      as<std::string>(), "000", "001", "042", "099", "600", "700", "999", "20",
+      "2", "", "2000", "0200", "2x0", "-20", "+20", " 200", "2 00", "OK");
+  CheckIsNoAnswer(WithStatusLine("HTTP/1.1 " + status + " OK"));
+}
+
+}  // namespace
+}  // namespace fireflyspar::backend_servers
--- a/tests/backend_servers/scripted_peer.cc
+++ b/tests/backend_servers/scripted_peer.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <string_view>
 
 namespace fireflyspar::backend_servers {
@@ -56,6 +57,10 @@
   }
 }
 
+net::awaitable<void> Write(tcp::socket& socket, std::string bytes) {
+  co_await net::async_write(socket, net::buffer(bytes), net::use_awaitable);
+}
+
 peer_client::~peer_client() {
   pool_.reset();
   peer_.Close();
--- a/tests/backend_servers/scripted_peer.h
+++ b/tests/backend_servers/scripted_peer.h
@@ -48,6 +48,9 @@
   int connections_ = 0;
 };
 
+// Writes the bytes to the socket.
+net::awaitable<void> Write(tcp::socket& socket, std::string bytes);
+
 // A client of one peer, with a pool of connections.
 class peer_client {
  public:
--- a/tests/backend_servers/scripted_peer_test.cc
+++ b/tests/backend_servers/scripted_peer_test.cc
@@ -22,10 +22,6 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-net::awaitable<void> Write(tcp::socket& socket, std::string bytes) {
-  co_await net::async_write(socket, net::buffer(bytes), net::use_awaitable);
-}
-
 // What one exchange may take from a server that sends without end: the longest
 // answer, and what the system buffers at both ends.
 constexpr std::size_t kMaxTaken = kMaxResponseBytes + 16'000'000;
