MIXED: an answer that switches protocols is no answer

Callers could get bytes that were no answer: what followed a 101 that nobody had asked for was read as the answer.

Cause: 101 was skipped like other informational answers, but it is a final one: after it the connection speaks another protocol.

No request here carries Upgrade, which the router drops with the other headers of one connection.

--- a/tests/backend_servers/broken_answers_test.cc
+++ b/tests/backend_servers/broken_answers_test.cc
@@ -2,6 +2,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
+#include <cctype>
 #include <chrono>
 #include <string>
 #include <string_view>
@@ -92,5 +93,16 @@
   CheckIsNoAnswer(WithStatusLine("HTTP/1.1 " + status + " OK"));
 }
 
+// Guards against a caller that gets bytes of another protocol: nobody had asked
+// the server to switch to one.
+TEST_CASE("an answer that switches protocols is no answer") {
+  const std::string after =
+      GENERATE(as<std::string>(), "\x81\x05hello", WholeAnswer("a"));
+  CheckIsNoAnswer(
+      "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\n"
+      "Connection: Upgrade\r\nRequest-Id: a\r\n\r\n" +
+      after);
+}
+
 }  // namespace
 }  // namespace fireflyspar::backend_servers
