MIXED: an answer in a coding that is not understood is no answer

Callers could get a body that was not the server's: the bytes of an answer with "Transfer-Encoding: gzip", "gzip, chunked" or the like came as a 200's body with a length.

Cause: the parser understands chunks alone. It takes other codings for an answer without a length, or passes over those before "chunked"; the reader then dropped the header and set a length. Chunks in HTTP/1.0, whose length is not to be trusted (RFC 9112, 6.1), were taken as well.

Evidence: backend_servers_test "an answer in codings that are not understood is no answer" failed before on all of its 13 codings, "an answer in chunks of a protocol without chunks is no answer" too.

The head check takes only one coding, chunked, and only in HTTP/1.1.

--- a/src/backend_servers/answer_head.cc
+++ b/src/backend_servers/answer_head.cc
@@ -7,16 +7,30 @@
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMaxStatus = 599;
 
-}  // namespace
+constexpr unsigned kFirstVersionWithChunks = 11;
 
-boost::system::error_code CheckHead(const answer_head& head) {
+bool IsValidStatus(const answer_head& head) {
   const unsigned status = head.result_int();
-  const bool is_valid = status >= kMinStatus && status <= kMaxStatus;
-  if (!is_valid) return http::error::bad_status;
+  if (status < kMinStatus || status > kMaxStatus) return false;
   // No request here asks for another protocol.
-  const bool switches_protocols =
-      head.result() == http::status::switching_protocols;
-  if (switches_protocols) return http::error::bad_status;
+  return head.result() != http::status::switching_protocols;
+}
+
+// Returns whether the body is coded in no way but in chunks. The parser
+// understands chunks alone, and takes bytes in other codings for the body.
+bool HasKnownCoding(const answer_head& head) {
+  const auto codings = head.count(http::field::transfer_encoding);
+  if (codings == 0) return true;
+  const auto coding = head[http::field::transfer_encoding];
+  return codings == 1 && beast::iequals(coding, "chunked") &&
+         head.version() >= kFirstVersionWithChunks;
+}
+
+}  // namespace
+
+boost::system::error_code CheckHead(const answer_head& head) {
+  if (!IsValidStatus(head)) return http::error::bad_status;
+  if (!HasKnownCoding(head)) return http::error::bad_transfer_encoding;
   return {};
 }
 
--- a/tests/backend_servers/broken_answers_test.cc
+++ b/tests/backend_servers/broken_answers_test.cc
@@ -104,5 +104,30 @@
       after);
 }
 
+std::string InChunks(const std::string& fields, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n" + fields + "\r\n" + body;
+}
+
+constexpr char kChunks[] = "4\r\nbody\r\n0\r\n\r\n";
+
+// Guards against a body that is not the server's: the codings were dropped, and
+// their bytes passed on as if they were the body.
+TEST_CASE("an answer in codings that are not understood is no answer") {
+  const std::string coding =
+      GENERATE(as<std::string>(), "gzip", "gzip, chunked", "gzip,chunked",
+               "chunked, gzip", "chunked, chunked", "identity",
+               "identity, chunked", "xchunked", "chunked;q=1", "chunked, ", "",
+               "gzip\r\n chunked", "gzip\r\nTransfer-Encoding: chunked");
+  CheckIsNoAnswer(InChunks("Transfer-Encoding: " + coding + "\r\n", kChunks));
+}
+
+// The length of such an answer is not to be trusted (RFC 9112, 6.1).
+TEST_CASE("an answer in chunks of a protocol without chunks is no answer") {
+  CheckIsNoAnswer(
+      "HTTP/1.0 200 OK\r\nRequest-Id: a\r\nConnection: keep-alive\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n" +
+      std::string(kChunks));
+}
+
 }  // namespace
 }  // namespace fireflyspar::backend_servers
