MIXED: trailers change nothing in an answer

Callers could get an answer whose head was not the server's: a trailer after the chunks became a header of the answer, "Not-Executed" or another "Request-Id" or "Response-Stamp" among them. A request that ran could so be called "not run".

Cause: the parser adds trailers to the head, and the reader looked at the head after the body.

The head is kept from before the body, and trailers are dropped.

--- a/src/backend_servers/answer_reader.cc
+++ b/src/backend_servers/answer_reader.cc
@@ -51,9 +51,16 @@
                                                    received_answer& answer) {
   error_code error;
   if (!head.is_done()) {
+    // The parser adds trailers to the head, where they could change what it
+    // says; nothing here uses any.
+    std::optional<http::fields> before_trailers;
+    if (head.chunked()) before_trailers = head.get().base();
     co_await http::async_read(from_.stream, from_.buffer, head,
                               net::redirect_error(net::use_awaitable, error));
     if (error) co_return error;
+    if (before_trailers) {
+      static_cast<http::fields&>(head.get()) = *std::move(before_trailers);
+    }
   }
   const bool is_close_delimited = !options_.is_head_request && head.need_eof();
   if (is_close_delimited && !options_.accepts_close_delimited) {
--- a/tests/backend_servers/broken_answers_test.cc
+++ b/tests/backend_servers/broken_answers_test.cc
@@ -129,5 +129,32 @@
       std::string(kChunks));
 }
 
+// Returns what the reader takes from a peer that sends these bytes.
+exchange_result Answered(const std::string& bytes) {
+  peer_client client([&bytes](tcp::socket& socket,
+                              const peer_request&) -> net::awaitable<void> {
+    co_await Write(socket, bytes);
+  });
+  return client.Send("a");
+}
+
+// Guards against "not run", another request's id or another signature for an
+// answer whose head said otherwise.
+TEST_CASE("trailers change nothing in an answer") {
+  const std::string name =
+      GENERATE(as<std::string>(), "Not-Executed", "Request-Id",
+               "Response-Stamp", "Retry-After", "Connection", "Other");
+  CAPTURE(name);
+  const exchange_result ended =
+      Answered(InChunks("Transfer-Encoding: chunked\r\nResponse-Stamp: s\r\n",
+                        "4\r\nbody\r\n0\r\n" + name + ": trailer\r\n\r\n"));
+  REQUIRE(ended.end == exchange_outcome::kAnswered);
+  CHECK(ended.answer.body() == "body");
+  for (const auto& field : ended.answer) {
+    CAPTURE(field.name_string());
+    CHECK(field.value() != "trailer");
+  }
+}
+
 }  // namespace
 }  // namespace fireflyspar::backend_servers
