MIXED: an answer is passed on with one length, in its plain form

Callers could get two "Content-Length" lines, or "4, 4" in one: heads that HTTP allows to be repaired, but not to be passed on (RFC 9110, 8.6).

Cause: the length of an answer that had one was passed on as it came.

Evidence: backend_servers_test "an answer is passed on with one length in its plain form" failed before for 04, "4,4", "4, 4" and two lines.

The reader writes the length that it read; for an answer to HEAD, the one that the head named.

--- a/src/backend_servers/answer_reader.cc
+++ b/src/backend_servers/answer_reader.cc
@@ -67,15 +67,16 @@
     co_return http::error::partial_message;
   }
   answer.can_reuse_connection = !is_close_delimited && head.keep_alive();
+  const auto head_length = head.content_length();
   answer.message = head.release();
   http_response& message = answer.message;
-  if (is_close_delimited || message.chunked()) {
-    // The whole body was read, so its length is known now.
-    message.erase(http::field::transfer_encoding);
-    message.erase(http::field::trailer);
-    if (!options_.is_head_request) {
-      message.content_length(message.body().size());
-    }
+  message.erase(http::field::trailer);
+  // The length that was read replaces all that the head said of it, in
+  // whatever form.
+  if (options_.is_head_request) {
+    message.content_length(head_length);
+  } else {
+    message.content_length(message.body().size());
   }
   co_return error;
 }
--- a/tests/backend_servers/broken_answers_test.cc
+++ b/tests/backend_servers/broken_answers_test.cc
@@ -156,5 +156,21 @@
   }
 }
 
+// Guards against a head with a length that the caller reads otherwise: it was
+// valid, but not as it is written now.
+TEST_CASE("an answer is passed on with one length in its plain form") {
+  const std::string length =
+      GENERATE(as<std::string>(), "4", "04", "4,4", "4, 4",
+               "4\r\nContent-Length: 4", " 4 ", "\r\n 4");
+  CAPTURE(length);
+  const exchange_result ended =
+      Answered("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: " + length +
+               "\r\n\r\nbody");
+  REQUIRE(ended.end == exchange_outcome::kAnswered);
+  CHECK(ended.answer.body() == "body");
+  CHECK(ended.answer.count(http::field::content_length) == 1);
+  CHECK(HeaderOf(ended.answer, "Content-Length") == "4");
+}
+
 }  // namespace
 }  // namespace fireflyspar::backend_servers
