Tests: heads and chunks that are no answers, and unusual ones that are

A blank, a control byte or any other byte that names of fields can't have, control bytes in values and reasons, other protocols, lengths that can't be or differ, broken chunks and trailers: all were handled before, on new and kept connections, and stay so.

--- a/tests/backend_servers/broken_answers_test.cc
+++ b/tests/backend_servers/broken_answers_test.cc
@@ -104,6 +104,84 @@
       after);
 }
 
+std::string WithFields(const std::string& fields) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n" + fields +
+         "Content-Length: 4\r\n\r\nbody";
+}
+
+// All bytes that are no part of a field's name (RFC 9110, 5.6.2).
+std::vector<char> NonTokenBytes() {
+  constexpr int kBytes = 256;
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  std::vector<char> found;
+  for (int code = 0; code < kBytes; ++code) {
+    const char byte = static_cast<char>(code);
+    const bool is_plain = code < 128 && std::isalnum(code) != 0;
+    const bool is_mark = kMarks.find(byte) != std::string_view::npos;
+    if (!is_plain && !is_mark && byte != ':') found.push_back(byte);
+  }
+  return found;
+}
+
+// Guards against a line that is passed on, or a length that is read from it:
+// with a blank or a control byte in its name, the next reader may see another
+// field there.
+TEST_CASE("an answer with a broken name of a field is no answer") {
+  for (const char byte : NonTokenBytes()) {
+    const std::string broken(1, byte);
+    const circumstances kept{.is_kept = true};
+    CheckIsNoAnswer({.bytes = WithFields(broken + "Name: v\r\n")}, kept);
+    CheckIsNoAnswer({.bytes = WithFields("Na" + broken + "me: v\r\n")}, kept);
+    CheckIsNoAnswer({.bytes = WithFields("Name" + broken + ": v\r\n")}, {});
+  }
+  const std::string fields = GENERATE(
+      as<std::string>(), ": v\r\n", "Name\r\n", "Content-Length : 1\r\n",
+      "Content-Length\t: 1\r\n", "Transfer-Encoding : chunked\r\n",
+      "Content Length: 1\r\n", "\r: v\r\n", "\n: v\r\n", "\rName: v\r\n");
+  CheckIsNoAnswer(WithFields(fields));
+  // A first line that begins with a blank continues nothing.
+  CheckIsNoAnswer(WithStatusLine("HTTP/1.1 200 OK\r\n Name: v"));
+  CheckIsNoAnswer(WithStatusLine("HTTP/1.1 200 OK\r\n\tName: v"));
+}
+
+TEST_CASE("an answer with a control byte in a value or reason is no answer") {
+  for (int code = 0; code < 128; ++code) {
+    const bool is_control = code != '\t' && std::iscntrl(code) != 0;
+    if (!is_control) continue;
+    const std::string broken(1, static_cast<char>(code));
+    CheckIsNoAnswer({.bytes = WithFields("Name: a" + broken + "b\r\n")}, {});
+    CheckIsNoAnswer({.bytes = WithStatusLine("HTTP/1.1 200 O" + broken + "K")},
+                    {.is_kept = true});
+  }
+}
+
+TEST_CASE("an answer of another protocol is no answer") {
+  const std::string line =
+      GENERATE(as<std::string>(), "HTTP/0.9 200 OK", "HTTP/1.2 200 OK",
+               "HTTP/2.0 200 OK", "HTTP/11 200 OK", "http/1.1 200 OK",
+               "HTTP/1.1\t200 OK", "HTTP/1.1 200", "HTTP 200 OK", "ICY 200 OK",
+               "\r\nHTTP/1.1 200 OK", " HTTP/1.1 200 OK", "220 ready", "");
+  CheckIsNoAnswer(WithStatusLine(line));
+}
+
+TEST_CASE("an answer with a length that can't be is no answer") {
+  const std::string length =
+      GENERATE(as<std::string>(), "", "+4", "-4", "0x4", "4a", "4 4", "4,5",
+               "4;4", "4.0", "\"4\"", "18446744073709551620",
+               "99999999999999999999999", "4\r\n 0");
+  CheckIsNoAnswer("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: " +
+                  length + "\r\n\r\nbody");
+}
+
+TEST_CASE("an answer with two lengths that differ is no answer") {
+  const std::string other =
+      GENERATE(as<std::string>(), "Content-Length: 3\r\n",
+               "Transfer-Encoding: chunked\r\n", "Content-Length: 04a\r\n");
+  CheckIsNoAnswer(WithFields(other));
+  CheckIsNoAnswer("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 4\r\n" +
+                  other + "\r\n4\r\nbody\r\n0\r\n\r\n");
+}
+
 std::string InChunks(const std::string& fields, const std::string& body) {
   return "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n" + fields + "\r\n" + body;
 }
@@ -129,6 +207,24 @@
       std::string(kChunks));
 }
 
+TEST_CASE("an answer in broken chunks is no answer") {
+  const std::string body = GENERATE(
+      as<std::string>(), "g\r\nbody\r\n0\r\n\r\n", "\r\nbody\r\n0\r\n\r\n",
+      " 4\r\nbody\r\n0\r\n\r\n", "4 \r\nbody\r\n0\r\n\r\n",
+      "+4\r\nbody\r\n0\r\n\r\n", "-4\r\nbody\r\n0\r\n\r\n",
+      "0x4\r\nbody\r\n0\r\n\r\n", "4\nbody\r\n0\r\n\r\n", "4\r\nbody0\r\n\r\n",
+      "4\r\nbodyXX0\r\n\r\n", "4\r\nbody\n0\r\n\r\n", "4\r\nbody\r\n0\n\n",
+      "10000000000000004\r\nbody\r\n0\r\n\r\n", "3\r\nbody\r\n0\r\n\r\n",
+      "4;a=\x01\r\nbody\r\n0\r\n\r\n", "4;a=\"b\r\nbody\r\n0\r\n\r\n",
+      "4;a\rb\r\nbody\r\n0\r\n\r\n", "4\r\nbody\r\n0\r\nNa me: v\r\n\r\n",
+      "4\r\nbody\r\n0\r\nNa\x01me: v\r\n\r\n", "4\r\nbody\r\n0\r\n: v\r\n\r\n",
+      "4\r\nbody\r\n0\r\nName\r\n\r\n", "4\r\nbody\r\n0\r\n Name: v\r\n\r\n",
+      "4\r\nbody\r\n0\r\nName: a\x01\r\n\r\n",
+      "4\r\nbody\r\n0\r\nContent-Length: 1\r\n\r\n",
+      "4\r\nbody\r\n0\r\nTransfer-Encoding: chunked\r\n\r\n");
+  CheckIsNoAnswer(InChunks("Transfer-Encoding: chunked\r\n", body));
+}
+
 // Returns what the reader takes from a peer that sends these bytes.
 exchange_result Answered(const std::string& bytes) {
   peer_client client([&bytes](tcp::socket& socket,
@@ -172,5 +268,36 @@
   CHECK(HeaderOf(ended.answer, "Content-Length") == "4");
 }
 
+// Guards against checks that refuse what servers may send.
+TEST_CASE("an unusual answer that is valid is one") {
+  const std::string line =
+      GENERATE(as<std::string>(), "HTTP/1.1 200 ", "HTTP/1.1 218 This is fine",
+               "HTTP/1.1 299 \x80\xff", "HTTP/1.1 451 A\tB", "HTTP/1.1 599 -",
+               "HTTP/1.0 200 OK", "HTTP/1.1 199 Early\r\n\r\nHTTP/1.1 200 OK");
+  const std::string field = GENERATE(
+      as<std::string>(), "", "!#$%&'*+-.^_`|~09azAZ: v\r\n", "Name:\r\n",
+      "Name:v\r\n", "Name: \x80\xff\t\"(),/:;<=>?@[]{}\r\n",
+      "Name: a\r\n  folded\r\n", "Name: a\r\nName: b\r\n");
+  CAPTURE(line, field);
+  const exchange_result ended = Answered(
+      line + "\r\nRequest-Id: a\r\n" + field + "Content-Length: 4\r\n\r\nbody");
+  CHECK(ended.end == exchange_outcome::kAnswered);
+  CHECK(ended.answer.body() == "body");
+}
+
+TEST_CASE("chunks in any valid form are put together") {
+  const std::string body =
+      GENERATE(as<std::string>(), kChunks, "04\r\nbody\r\n000\r\n\r\n",
+               "1\r\nb\r\n3\r\nody\r\n0\r\n\r\n",
+               "4;a=b;c=\"d\"\r\nbody\r\n0;e\r\n\r\n");
+  CAPTURE(body);
+  const exchange_result ended =
+      Answered(InChunks("Transfer-Encoding: Chunked\r\n", body));
+  REQUIRE(ended.end == exchange_outcome::kAnswered);
+  CHECK(ended.answer.body() == "body");
+  CHECK(HeaderOf(ended.answer, "Content-Length") == "4");
+  CHECK(ended.answer.count(http::field::transfer_encoding) == 0);
+}
+
 }  // namespace
 }  // namespace fireflyspar::backend_servers
