LOST: the answers of one process take bounded memory together

A faulty server sent bytes that were no answer, without end. The process that had called it kept what came, for all its requests, and was killed for its memory; the requests of other clients there ended with it.

Cause: each answer had bounds of its own, 8 MB for a body, but nothing bounded their sum. Bodies without a length doubled as they grew, and each connection's read buffer could reach 256 kB.

Each pool of connections now has an answer_memory; nothing is read beyond the room that an answer has there, and the answer holds its room until it has been passed on. Answers that wait get room in order. One at a time is lent a part that the longest answer fits into, so that those that have begun can't block each other. The gate's and the router's answers have an eighth of the process's memory each, apart from each other: a router waits only for gates whose answers are whole, so no two processes wait for each other's room. Small answers, 16 kB with their buffer, need no room. A head has at most 128 fields.

Who waits for room ends by its deadline, as unknown, or when its caller leaves. A cancel that comes between two reads is no longer lost.

An answer can't be copied by accident any more; tests that did so move it.

--- a/lab/load_generator.cc
+++ b/lab/load_generator.cc
@@ -125,7 +125,7 @@
       open_connection.reset();
       co_return;
     }
-    const http_response& answer = parser.get();
+    const auto& answer = parser.get();
     ++result_.by_status[static_cast<int>(answer.result_int())];
     result_.latencies.push_back(std::chrono::duration_cast<microseconds>(
         steady_clock::now() - scheduled_time));
--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -48,7 +48,8 @@
 // Path, beside the metrics, of the list of what is suspected and withheld.
 constexpr std::string_view kSuspectsPage = "/suspects";
 
-// The share of the process's memory for bodies is one divided by this.
+// The share of the process's memory for each of its four kinds of bodies is one
+// divided by this.
 constexpr std::uint64_t kBodyMemoryDivisor = 8;
 
 http_response PlainAnswer(http::status status, std::string text) {
@@ -77,8 +78,9 @@
   proxy::router_options RouterOptions();
   proxy::rollouts_options RolloutsOptions();
   store_follower_options FollowerOptions();
-  // Memory for the bodies of callers' requests, and as much again for those of
-  // requests at the gate, in bytes.
+  // Memory for the bodies of callers' requests, in bytes. As much each is for
+  // those of requests at the gate, for the answers of the server here and for
+  // those of other instances.
   std::uint64_t BodyMemory() const;
   void MakeListeners();
 
@@ -219,6 +221,7 @@
       .instance = settings_.instance,
       .transfers = {.bytes_per_second = settings_.link_bytes_per_second,
                     .max_held_bytes = BodyMemory()},
+      .answers = {.max_bytes = BodyMemory()},
       .held = [this] { return follower_.Held(); },
       .on_suspect =
           [this](const decisions::suspect& changed) {
@@ -273,6 +276,7 @@
           .rollout_states = &rollouts_,
           .quota = &quota_,
           .budget = settings_.repeats,
+          .answers = {.max_bytes = BodyMemory()},
           .own_service = [this] { return settings_.service; },
           .is_configuration_fresh = [this] { return follower_.IsInTouch(); },
           .is_evacuated =
--- /dev/null
+++ b/src/backend_servers/answer_bytes.cc
@@ -0,0 +1,170 @@
+#include "backend_servers/answer_bytes.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <iterator>
+#include <optional>
+
+#include "backend_servers/answer_head.h"
+
+namespace fireflyspar::backend_servers {
+namespace {
+
+using boost::system::error_code;
+
+// The read buffer for a head of usual length and a short body.
+constexpr std::size_t kFirstBuffer = 4096;
+
+// A read takes at least this much.
+constexpr std::size_t kMinRead = 512;
+
+// A body that takes no more is read with the first buffer and needs no room.
+constexpr std::uint64_t kShortBodyBytes = kSmallAnswerBytes - kFirstBuffer;
+
+// The parser keeps a record for each field, however short it is.
+constexpr int kMaxFields = 128;
+
+// A head that does not fit into the first buffer: its text and its records.
+constexpr std::uint64_t kLongHeadBytes = 2 * kMaxHeaderBytes;
+
+}  // namespace
+
+error_code answer_bytes::Parse(answer_parser& into) {
+  error_code error;
+  const std::size_t used = into.put(from_.buffer.data(), error);
+  from_.buffer.consume(used);
+  return error;
+}
+
+net::awaitable<error_code> answer_bytes::ReadSome(answer_parser& into) {
+  error_code error = http::error::need_more;
+  if (from_.buffer.size() > 0) error = Parse(into);
+  if (error != http::error::need_more) co_return error;
+  // Cancelling the connection has no effect between two reads.
+  if (room_.IsCancelled()) co_return net::error::operation_aborted;
+  if (from_.buffer.capacity() < from_.buffer.size() + kMinRead) {
+    const std::size_t twice = 2 * from_.buffer.capacity();
+    error = co_await GrowBuffer(std::max(kFirstBuffer, twice));
+    if (error) co_return error;
+  }
+  const auto space =
+      from_.buffer.prepare(from_.buffer.capacity() - from_.buffer.size());
+  const std::size_t bytes_read = co_await from_.stream.async_read_some(
+      space, net::redirect_error(net::use_awaitable, error));
+  if (error == net::error::eof) {
+    if (!into.got_some()) co_return http::error::end_of_stream;
+    error = {};
+    into.put_eof(error);
+    co_return error;
+  }
+  if (error) co_return error;
+  from_.buffer.commit(bytes_read);
+  error = Parse(into);
+  if (error == http::error::need_more) error = {};
+  co_return error;
+}
+
+net::awaitable<error_code> answer_bytes::ReadHead(answer_parser& into) {
+  error_code error;
+  head_bytes_ = 0;
+  body_bytes_ = 0;
+  while (!into.is_header_done()) {
+    error = co_await ReadSome(into);
+    if (error) co_return error;
+    const auto& head = into.get().base();
+    const bool is_too_long =
+        std::distance(head.begin(), head.end()) > kMaxFields;
+    if (is_too_long) co_return http::error::header_limit;
+  }
+  co_return CheckHead(into.get().base());
+}
+
+net::awaitable<error_code> answer_bytes::ReadBody(answer_parser& into) {
+  error_code error;
+  const auto length = into.content_length();
+  if (length) error = co_await MakeRoomFor(*length);
+  if (error) co_return error;
+  // The parser adds trailers to the head, where they could change what it says;
+  // nothing here uses any.
+  std::optional<http::fields> before_trailers;
+  if (into.chunked()) before_trailers = into.get().base();
+  into.eager(true);
+  while (!into.is_done()) {
+    if (!length) error = co_await GrowBody(into.get().body());
+    if (!error) error = co_await ReadSome(into);
+    if (error) co_return error;
+  }
+  if (before_trailers) {
+    static_cast<http::fields&>(into.get()) = *std::move(before_trailers);
+  }
+  Settle(into.get().body());
+  co_return error;
+}
+
+net::awaitable<error_code> answer_bytes::Take(std::uint64_t buffer_bytes,
+                                              std::uint64_t body_bytes) {
+  const bool has_room =
+      co_await room_.Grow(buffer_bytes + head_bytes_ + body_bytes, deadline_);
+  co_return has_room ? error_code() : beast::error::timeout;
+}
+
+net::awaitable<error_code> answer_bytes::GrowBuffer(std::size_t capacity) {
+  const std::size_t wanted = std::min(capacity, kMaxAnswerBuffer);
+  if (wanted <= from_.buffer.capacity()) {
+    const bool is_full = from_.buffer.size() + kMinRead > kMaxAnswerBuffer;
+    co_return is_full ? make_error_code(http::error::buffer_overflow)
+                      : error_code();
+  }
+  const bool is_in_head = body_bytes_ == 0;
+  if (is_in_head && wanted > kFirstBuffer) head_bytes_ = kLongHeadBytes;
+  const error_code error = co_await Take(wanted, body_bytes_);
+  if (!error) from_.buffer.reserve(wanted);
+  co_return error;
+}
+
+net::awaitable<error_code> answer_bytes::MakeRoomFor(
+    std::uint64_t body_length) {
+  body_bytes_ = body_length;
+  const std::size_t buffer_bytes =
+      body_length <= kShortBodyBytes
+          ? from_.buffer.capacity()
+          : std::max(from_.buffer.capacity(), kMaxAnswerBuffer);
+  const error_code error = co_await Take(buffer_bytes, body_length);
+  if (!error) from_.buffer.reserve(buffer_bytes);
+  co_return error;
+}
+
+net::awaitable<error_code> answer_bytes::GrowBody(std::string& body) {
+  error_code error;
+  if (body.size() > kShortBodyBytes) {
+    error = co_await GrowBuffer(kMaxAnswerBuffer);
+    if (error) co_return error;
+  }
+  const std::uint64_t needed = body.size() + from_.buffer.capacity();
+  if (needed <= body.capacity()) co_return error;
+  const std::uint64_t most = room_.MaxBodyBytes() + kMaxAnswerBuffer;
+  std::uint64_t wanted =
+      std::min(most, std::max<std::uint64_t>(needed, 2 * body.capacity()));
+  // Both the old and the new copy are there for a moment.
+  error = co_await Take(from_.buffer.capacity(), body.capacity() + wanted);
+  if (error) co_return error;
+  if (room_.HasLoan()) wanted = most;
+  body.reserve(wanted);
+  body_bytes_ = body.capacity();
+  room_.Settle(from_.buffer.capacity() + head_bytes_ + body_bytes_);
+  co_return error;
+}
+
+void answer_bytes::Settle(std::string& body) {
+  if (from_.buffer.size() == 0 && from_.buffer.capacity() > kFirstBuffer) {
+    from_.buffer.shrink_to_fit();
+  }
+  const bool had_loan = room_.HasLoan();
+  body_bytes_ = had_loan ? body.size() : body.capacity();
+  const bool is_settled =
+      room_.Settle(from_.buffer.capacity() + head_bytes_ + body_bytes_);
+  if (is_settled && had_loan) body.shrink_to_fit();
+}
+
+}  // namespace fireflyspar::backend_servers
--- a/src/backend_servers/answer_reader.cc
+++ b/src/backend_servers/answer_reader.cc
@@ -1,11 +1,7 @@
 #include "backend_servers/answer_reader.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
-#include "backend_servers/answer_head.h"
-
 namespace fireflyspar::backend_servers {
 namespace {
 
@@ -24,20 +20,15 @@
 }  // namespace
 
 net::awaitable<error_code> answer_reader::ReadHead(
-    bool awaits_continue, std::optional<parser>& head) {
+    bool awaits_continue, std::optional<answer_parser>& head) {
   error_code error;
-  auto token = net::redirect_error(net::use_awaitable, error);
   for (int informational = 0; informational <= kMaxInformational;
        ++informational) {
     head.emplace();
     head->header_limit(kMaxHeaderBytes);
-    head->body_limit(kMaxResponseBytes);
+    head->body_limit(room_.MaxBodyBytes());
     head->skip(options_.is_head_request);
-    // The head is read alone: when it is read along with the body, the parser
-    // passes over an error that it found in the head, such as a length above
-    // the limit, and reserves the memory.
-    co_await http::async_read_header(from_.stream, from_.buffer, *head, token);
-    if (!error) error = CheckHead(head->get().base());
+    error = co_await bytes_.ReadHead(*head);
     if (error) co_return error;
     const unsigned status = head->get().result_int();
     const bool is_final = status / kStatusesPerClass != kInformationalClass;
@@ -47,28 +38,18 @@
   co_return http::error::bad_status;
 }
 
-net::awaitable<error_code> answer_reader::ReadBody(parser& head,
+net::awaitable<error_code> answer_reader::ReadBody(answer_parser& head,
                                                    received_answer& answer) {
   error_code error;
-  if (!head.is_done()) {
-    // The parser adds trailers to the head, where they could change what it
-    // says; nothing here uses any.
-    std::optional<http::fields> before_trailers;
-    if (head.chunked()) before_trailers = head.get().base();
-    co_await http::async_read(from_.stream, from_.buffer, head,
-                              net::redirect_error(net::use_awaitable, error));
-    if (error) co_return error;
-    if (before_trailers) {
-      static_cast<http::fields&>(head.get()) = *std::move(before_trailers);
-    }
-  }
+  if (!head.is_done()) error = co_await bytes_.ReadBody(head);
+  if (error) co_return error;
   const bool is_close_delimited = !options_.is_head_request && head.need_eof();
   if (is_close_delimited && !options_.accepts_close_delimited) {
     co_return http::error::partial_message;
   }
   answer.can_reuse_connection = !is_close_delimited && head.keep_alive();
   const auto head_length = head.content_length();
-  answer.message = head.release();
+  answer.message = http_response(head.release());
   http_response& message = answer.message;
   message.erase(http::field::trailer);
   // The length that was read replaces all that the head said of it, in
@@ -97,7 +78,7 @@
     bool awaits_continue, std::optional<received_answer>& answer) {
   bool is_first_answer = true;
   for (int answers = 0; answers < kMaxAnswers; ++answers) {
-    std::optional<parser> head;
+    std::optional<answer_parser> head;
     error_code error = co_await ReadHead(awaits_continue, head);
     if (error) co_return error;
     answer.reset();
--- a/src/backend_servers/answer_reader.h
+++ b/src/backend_servers/answer_reader.h
@@ -6,9 +6,11 @@
 #define FIREFLYSPAR_BACKEND_SERVERS_ANSWER_READER_H_
 
 #include <boost/system/error_code.hpp>
+#include <chrono>
 #include <optional>
 #include <string>
 
+#include "backend_servers/answer_bytes.h"
 #include "backend_servers/http.h"
 
 namespace fireflyspar::backend_servers {
@@ -17,6 +19,7 @@
   // See exchange_options.
   std::string correlation_header;
   bool accepts_close_delimited = false;
+  std::chrono::steady_clock::time_point deadline;
   // The current request.
   std::string request_id;  // Empty: it has none.
   bool is_head_request = false;
@@ -33,8 +36,12 @@
 
 class answer_reader {
  public:
-  answer_reader(connection& from, answer_reader_options options)
-      : from_(from), options_(std::move(options)) {}
+  // Reads on only as far as there is room.
+  answer_reader(connection& from, answer_room& room,
+                answer_reader_options options)
+      : room_(room),
+        bytes_(from, room, options.deadline),
+        options_(std::move(options)) {}
 
   // Reads the whole answer to the request. Skips informational answers (1xx)
   // and answers to earlier requests. Fails with http::error::bad_value if it
@@ -47,22 +54,22 @@
       std::optional<received_answer>& answer);
 
  private:
-  using parser = http::response_parser<http::string_body>;
   enum class owner { kThisRequest, kOtherRequest, kUnknown };
 
   // Reads the head of the next final answer, or of "100 Continue" if the
   // request waits for it.
   net::awaitable<boost::system::error_code> ReadHead(
-      bool awaits_continue, std::optional<parser>& head);
+      bool awaits_continue, std::optional<answer_parser>& head);
   // Reads the rest of an answer.
-  net::awaitable<boost::system::error_code> ReadBody(parser& head,
+  net::awaitable<boost::system::error_code> ReadBody(answer_parser& head,
                                                      received_answer& answer);
   // Reads answers until one belongs to the request.
   net::awaitable<boost::system::error_code> ReadMatching(
       bool awaits_continue, std::optional<received_answer>& answer);
   owner OwnerOf(const http_response& answer) const;
 
-  connection& from_;
+  answer_room& room_;
+  answer_bytes bytes_;
   answer_reader_options options_;
 };
 
--- a/src/backend_servers/connection_pool.h
+++ b/src/backend_servers/connection_pool.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <vector>
 
+#include "backend_servers/answer_memory.h"
 #include "backend_servers/http.h"
 
 namespace fireflyspar::backend_servers {
@@ -20,8 +21,9 @@
   // few pooled connections turn out to be closed.
   static constexpr std::chrono::milliseconds kMaxIdle{4000};
 
-  explicit connection_pool(net::any_io_executor executor)
-      : executor_(std::move(executor)) {}
+  explicit connection_pool(net::any_io_executor executor,
+                           const answer_memory_options& answers = {})
+      : executor_(std::move(executor)), answers_(answers) {}
 
   // Returns a connection that has been idle for at most `max_idle`, that its
   // peer has not closed and for which `accepts` holds; or null.
@@ -39,6 +41,9 @@
 
   const net::any_io_executor& Executor() const { return executor_; }
 
+  // Returns the memory for the answers that are read from these connections.
+  const answer_memory& Answers() const { return answers_; }
+
  private:
   struct idle_connection {
     std::unique_ptr<connection> held;
@@ -47,6 +52,7 @@
   };
 
   net::any_io_executor executor_;
+  answer_memory answers_;
   std::map<base::address, std::vector<idle_connection>> idle_;
 };
 
--- a/src/backend_servers/exchange.cc
+++ b/src/backend_servers/exchange.cc
@@ -16,12 +16,16 @@
 using boost::system::error_code;
 using steady = std::chrono::steady_clock;
 
-// Makes a cancellation stop the connection's operations, for the lifetime of
-// the object.
+// Makes a cancellation stop the connection's operations and the wait for room,
+// for the lifetime of the object.
 class cancel_scope {
  public:
-  cancel_scope(cancellation& cancel, connection& used) : cancel_(cancel) {
-    cancel_.OnCancel([&used] { used.stream.cancel(); });
+  cancel_scope(cancellation& cancel, connection& used, answer_room& room)
+      : cancel_(cancel) {
+    cancel_.OnCancel([&used, &room] {
+      used.stream.cancel();
+      room.Cancel();
+    });
   }
   ~cancel_scope() { cancel_.OnCancel(nullptr); }
   cancel_scope(const cancel_scope&) = delete;
@@ -42,12 +46,29 @@
   return result;
 }
 
+// Has to be done before the connection is made.
+error_code LimitReceiveBuffer(tcp::socket& socket, const tcp::endpoint& to,
+                              int bytes) {
+  error_code error;
+  error = socket.open(to.protocol(), error);
+  if (error) return error;
+  error_code ignored;
+  ignored =
+      socket.set_option(net::socket_base::receive_buffer_size(bytes), ignored);
+  return error;
+}
+
 net::awaitable<error_code> Connect(connection& fresh,
                                    const exchange_options& options) {
   error_code error;
   fresh.stream.expires_at(
       std::min(options.deadline, steady::now() + options.connect_timeout));
   const tcp::endpoint endpoint = ToEndpoint(options.to);
+  if (options.receive_buffer_bytes > 0) {
+    error = LimitReceiveBuffer(fresh.stream.socket(), endpoint,
+                               options.receive_buffer_bytes);
+    if (error) co_return error;
+  }
   auto token = net::redirect_error(net::use_awaitable, error);
   co_await fresh.stream.async_connect(endpoint, token);
   if (!error) {
@@ -144,7 +165,8 @@
   if (is_fresh) used = std::make_unique<connection>(pool.Executor());
   const std::string id(IdOf(request, options));
   if (!id.empty()) used->sent.Add(id);
-  const cancel_scope scope(cancel, *used);
+  auto room = std::make_unique<answer_room>(pool.Answers(), pool.Executor());
+  const cancel_scope scope(cancel, *used, *room);
   error_code error;
   if (is_fresh) {
     error = co_await Connect(*used, options);
@@ -160,11 +182,13 @@
   }
   used->stream.expires_at(options.deadline);
   answer_reader answers(
-      *used, {.correlation_header = options.correlation_header,
-              .accepts_close_delimited = options.accepts_close_delimited,
-              .request_id = id,
-              .is_head_request = request.method() == http::verb::head,
-              .is_first = is_fresh});
+      *used, *room,
+      {.correlation_header = options.correlation_header,
+       .accepts_close_delimited = options.accepts_close_delimited,
+       .deadline = options.deadline,
+       .request_id = id,
+       .is_head_request = request.method() == http::verb::head,
+       .is_first = is_fresh});
   std::optional<received_answer> answer;
   if (options.body_after_continue) {
     error = co_await SendHeadAndAwaitContinue(*used, options, request, answers,
@@ -203,6 +227,7 @@
   }
   result.sent = true;
   result.answer = std::move(answer->message);
+  if (room->IsHeld()) result.answer.room = std::move(room);
   if (options.check_exchange_id && HeaderOf(result.answer, kExchangeHeader) !=
                                        HeaderOf(request, kExchangeHeader)) {
     result.detail = "the answer belongs to another request";
--- a/src/backend_servers/exchange.h
+++ b/src/backend_servers/exchange.h
@@ -37,6 +37,9 @@
   // or when the peer does not answer TCP keep-alive probes. Zero: the system's
   // defaults, which take minutes.
   std::chrono::milliseconds dead_peer_timeout{0};
+  // The most that the operating system holds unread for the connection, or
+  // about; it may take twice as much for its records. Zero: as it chooses.
+  int receive_buffer_bytes = 0;
   // Called right before the first byte is written, since the process may have
   // been paused after it decided to send. Nothing is sent if it returns false.
   // Empty: always true.
--- a/src/backend_servers/http.h
+++ b/src/backend_servers/http.h
@@ -17,32 +17,48 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "backend_servers/answer_memory.h"
 #include "backend_servers/sent_requests.h"
 #include "base/address.h"
 #include "base/result.h"
 
 namespace fireflyspar::backend_servers {
 
-namespace net = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = net::ip::tcp;
 
 using http_request = http::request<http::string_body>;
-using http_response = http::response<http::string_body>;
+
+// An answer, and the room that it holds in memory until it has been passed on.
+// Without room it is small or was made here.
+struct http_response : http::response<http::string_body> {
+  using http::response<http::string_body>::message;
+
+  http_response() = default;
+  explicit http_response(http::response<http::string_body>&& from)
+      : http::response<http::string_body>(std::move(from)) {}
+
+  std::unique_ptr<answer_room> room;
+};
 
 inline constexpr std::size_t kMaxHeaderBytes = 16'384;
 inline constexpr std::uint64_t kMaxRequestBytes = 1'048'576;
-inline constexpr std::uint64_t kMaxResponseBytes = 8'388'608;
 
-// The bytes of one connection that are held unparsed. Chunk headers and
-// trailers have no other limit.
+// The bytes of one connection of a caller that are held unparsed. Chunk headers
+// and trailers have no other limit.
 inline constexpr std::size_t kMaxBufferedBytes = 262'144;
 
+// Returns a copy that holds no room: whoever keeps it limits what it keeps.
+inline http_response CopyWithoutRoom(const http_response& from) {
+  return http_response(http::response<http::string_body>(from));
+}
+
 // A connection and the bytes read from it beyond the last message.
 struct connection {
   explicit connection(const net::any_io_executor& executor)
--- a/src/callers/claim_coordinator.cc
+++ b/src/callers/claim_coordinator.cc
@@ -234,7 +234,7 @@
                           found->second.answer.has_value() &&
                           found->second.fingerprint == fingerprint;
   if (!has_answer) return RefusalFor(claim_verdict::kTaken);
-  return {.answer = *found->second.answer};
+  return {.answer = backend_servers::CopyWithoutRoom(*found->second.answer)};
 }
 
 void claim_coordinator::Store(const request_id& id,
@@ -245,7 +245,7 @@
   const bool fits =
       size <= kMaxStoredAnswerBytes && stored_bytes_ + size <= kMaxStoredBytes;
   if (found == answers_.end() || !fits) return;
-  found->second.answer = answer;
+  found->second.answer = backend_servers::CopyWithoutRoom(answer);
   stored_bytes_ += size;
 }
 
--- a/src/proxy/deadline_notice.h
+++ b/src/proxy/deadline_notice.h
@@ -36,7 +36,7 @@
 class deadline_notifier {
  public:
   explicit deadline_notifier(const net::any_io_executor& executor)
-      : pool_(executor) {}
+      : pool_(executor, backend_servers::kShortAnswers) {}
 
   // Sends the notice; does not wait for it.
   void Send(const base::address& gate, const deadline_notice& notice);
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -36,6 +36,9 @@
 
 constexpr milliseconds kConnectTimeout{1000};
 
+// The bytes of a server's answer that the system holds unread.
+constexpr int kReceiveBuffer = 65'536;
+
 // Within this time a server on the same instance accepts a connection, or its
 // absence shows.
 constexpr milliseconds kEndCheckTimeout{200};
@@ -64,7 +67,7 @@
 
 gate::gate(gate_options options)
     : options_(std::move(options)),
-      pool_(options_.executor),
+      pool_(options_.executor, options_.answers),
       transfers_(options_.transfers),
       pending_(admission_, transfers_),
       waiters_(options_.executor),
@@ -472,6 +475,7 @@
   if (!offer.is_idempotent) options.max_idle = kMaxIdleForUnsafe;
   options.correlation_header = names.request_id;
   options.accepts_close_delimited = true;
+  options.receive_buffer_bytes = kReceiveBuffer;
   notices_.CountSent(offer);
   const auto sent = steady::now();
   exchange_result ended =
--- a/src/proxy/gate.h
+++ b/src/proxy/gate.h
@@ -56,6 +56,7 @@
   base::event_log* log = nullptr;
   std::string instance;  // Where the gate stands.
   decisions::transfer_queue_options transfers;
+  backend_servers::answer_memory_options answers;  // Of the server here.
   // A server that has not reported for this long is considered gone.
   base::duration heartbeat_timeout = std::chrono::seconds(5);
   // Returns what this process holds of the shared objects.
--- a/src/proxy/gate_client.h
+++ b/src/proxy/gate_client.h
@@ -10,8 +10,9 @@
 
 class gate_client {
  public:
-  explicit gate_client(const net::any_io_executor& executor)
-      : pool_(executor) {}
+  gate_client(const net::any_io_executor& executor,
+              const backend_servers::answer_memory_options& answers)
+      : pool_(executor, answers) {}
 
   // Offers the request; its outcome comes by `deadline` and a short time more.
   net::awaitable<gate_outcome> Offer(const base::address& gate,
--- a/src/proxy/gate_cold_start.h
+++ b/src/proxy/gate_cold_start.h
@@ -42,7 +42,8 @@
 class gate_cold_start {
  public:
   explicit gate_cold_start(gate_cold_start_options options)
-      : options_(std::move(options)), pool_(options_.executor) {}
+      : options_(std::move(options)),
+        pool_(options_.executor, backend_servers::kShortAnswers) {}
 
   // Must be called with the first report of each start of a server, and with
   // each later one.
--- a/src/proxy/listener.cc
+++ b/src/proxy/listener.cc
@@ -264,6 +264,7 @@
     co_await http::async_write(
         client->stream, answer,
         net::redirect_error(net::use_awaitable, write_error));
+    answer = http_response();  // Its memory is free while the caller closes.
     --active_requests;
     if (write_error) co_return;
     if (!keeps_open) {
--- a/src/proxy/quota_exchange.cc
+++ b/src/proxy/quota_exchange.cc
@@ -90,7 +90,7 @@
 
 quota_exchange::quota_exchange(quota_exchange_options options)
     : options_(std::move(options)),
-      peers_(options_.executor),
+      peers_(options_.executor, backend_servers::kShortAnswers),
       owner_(options_.instance, options_.data_centre, options_.is_first_start),
       granter_(options_.limits) {}
 
--- a/src/proxy/router.cc
+++ b/src/proxy/router.cc
@@ -55,7 +55,7 @@
 
 router::router(router_options options)
     : options_(std::move(options)),
-      gates_(options_.executor),
+      gates_(options_.executor, options_.answers),
       deadlines_(options_.executor),
       answers_({.headers = options_.headers,
                 .metrics = options_.metrics,
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -53,6 +53,9 @@
   rollouts* rollout_states = nullptr;
   quota_exchange* quota = nullptr;  // Null: organisations have no limits.
   decisions::shared_retry_budget_options budget;
+  // For answers from other instances. Has to be apart from that of the gate
+  // here: otherwise two instances could wait for each other's room.
+  backend_servers::answer_memory_options answers;
   // Returns the service of the backend server on this instance.
   std::function<std::string()> own_service;
   // See organisation_access_options.
--- a/src/proxy/shared_object_puller.h
+++ b/src/proxy/shared_object_puller.h
@@ -20,10 +20,15 @@
   std::function<void(shared_kind kind, const stored_object& object)> on_object;
 };
 
+// A peer's answer holds all objects of a kind; few are asked for at once.
+inline constexpr backend_servers::answer_memory_options kPulledObjects{
+    .max_bytes = 9'437'184};
+
 class shared_object_puller {
  public:
   explicit shared_object_puller(shared_object_puller_options options)
-      : options_(std::move(options)), peers_(options_.executor) {}
+      : options_(std::move(options)),
+        peers_(options_.executor, kPulledObjects) {}
 
   // Notes what the process with this gate holds, and asks it for the kinds of
   // which it holds more than `own`.
--- a/src/proxy/suspect_exchange.h
+++ b/src/proxy/suspect_exchange.h
@@ -43,7 +43,8 @@
 class suspect_exchange {
  public:
   explicit suspect_exchange(suspect_exchange_options options)
-      : options_(std::move(options)), peers_(options_.executor) {}
+      : options_(std::move(options)),
+        peers_(options_.executor, backend_servers::kShortAnswers) {}
 
   // Sends the change to those who keep it. Changes of the same moment go in one
   // message.
--- a/tests/backend_servers/late_copies_test.cc
+++ b/tests/backend_servers/late_copies_test.cc
@@ -143,7 +143,7 @@
   }
 
   bool HasEnded() const { return ended_callers_ == kCallers; }
-  const std::vector<run_result>& Results() const { return results_; }
+  std::vector<run_result> TakeResults() { return std::move(results_); }
 
  private:
   net::awaitable<void> Call() {
@@ -181,7 +181,7 @@
     std::optional<repeating_callers> callers;
     callers.emplace(loop, peer.Address(), static_cast<unsigned>(seed) + 1);
     while (!callers->HasEnded()) loop.run_one();
-    const std::vector<run_result> results = callers->Results();
+    const std::vector<run_result> results = callers->TakeResults();
     callers.reset();
     peer.Close();
     loop.restart();
--- a/tests/backend_servers/scripted_peer.cc
+++ b/tests/backend_servers/scripted_peer.cc
@@ -1,5 +1,6 @@
 #include "scripted_peer.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
@@ -62,6 +63,9 @@
 }
 
 peer_client::~peer_client() {
+  slow_.Cancel();
+  loop_.restart();
+  loop_.poll();
   pool_.reset();
   peer_.Close();
   loop_.restart();
@@ -83,28 +87,73 @@
   return Run(std::move(request), true);
 }
 
+void peer_client::SendAtOnce(
+    int count, const std::function<void(exchange_result)>& on_end) {
+  int ended = 0;
+  for (int i = 0; i < count; ++i) {
+    http_request request(http::verb::get, "/p", 11);
+    request.set(kIdHeader, "at-once-" + std::to_string(i));
+    net::co_spawn(loop_, Exchange(std::move(request), false, never_),
+                  [&](const std::exception_ptr&, exchange_result result) {
+                    ++ended;
+                    on_end(std::move(result));
+                  });
+  }
+  loop_.restart();
+  while (ended < count) loop_.run_one();
+}
+
 exchange_result peer_client::Run(http_request request,
                                  bool body_after_continue) {
+  std::optional<exchange_result> ended;
+  net::co_spawn(loop_,
+                Exchange(std::move(request), body_after_continue, never_),
+                [&](const std::exception_ptr&, exchange_result result) {
+                  ended = std::move(result);
+                });
+  loop_.restart();
+  while (!ended) loop_.run_one();
+  return *std::move(ended);
+}
+
+exchange_result peer_client::SendAndCancel(const std::string& id,
+                                           std::chrono::milliseconds after) {
+  http_request request(http::verb::get, "/p", 11);
+  request.set(kIdHeader, id);
+  cancellation cancel;
+  std::optional<exchange_result> ended;
+  net::co_spawn(loop_, Exchange(std::move(request), false, cancel),
+                [&](const std::exception_ptr&, exchange_result result) {
+                  ended = std::move(result);
+                });
+  RunFor(after);
+  cancel.Cancel();
+  loop_.restart();
+  while (!ended) loop_.run_one();
+  return *std::move(ended);
+}
+
+void peer_client::BeginSlow(const std::string& target) {
+  http_request request(http::verb::get, target, 11);
+  request.set(kIdHeader, "slow");
+  net::co_spawn(loop_, Exchange(std::move(request), false, slow_),
+                [](const std::exception_ptr&, const exchange_result&) {});
+  loop_.restart();
+  while (Answers().UsedBytes() == 0) loop_.run_one();
+}
+
+net::awaitable<exchange_result> peer_client::Exchange(http_request request,
+                                                      bool body_after_continue,
+                                                      cancellation& cancel) {
   exchange_options options;
   options.to = peer_.Address();
-  options.deadline =
-      std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  options.deadline = std::chrono::steady_clock::now() + deadline_;
   if (!is_proxy_) options.correlation_header = kIdHeader;
   options.accepts_close_delimited = !is_proxy_;
   options.body_after_continue = body_after_continue;
-  cancellation never;
-  exchange_result ended;
-  bool has_ended = false;
-  net::co_spawn(
-      loop_,
-      [&]() -> net::awaitable<void> {
-        ended = co_await Exchange(*pool_, options, request, never);
-        has_ended = true;
-      },
-      net::detached);
-  loop_.restart();
-  while (!has_ended) loop_.run_one();
-  return ended;
+  exchange_result ended =
+      co_await backend_servers::Exchange(*pool_, options, request, cancel);
+  co_return ended;
 }
 
 }  // namespace fireflyspar::backend_servers
--- a/tests/callers/small_fleet.cc
+++ b/tests/callers/small_fleet.cc
@@ -145,7 +145,7 @@
   parser.body_limit(backend_servers::kMaxResponseBytes);
   parser.skip(request.method() == http::verb::head);
   http::read(socket, buffer, parser);
-  return parser.release();
+  return http_response(parser.release());
 }
 
 http_request Get(const std::string& target) {
--- a/tests/proxy/cold_server_test.cc
+++ b/tests/proxy/cold_server_test.cc
@@ -112,7 +112,7 @@
   offer.wait_limit = offer.left = offer.time_to_objective = seconds(30);
   std::optional<gate_outcome> ended;
   server.BeginOffer(offer, "queued",
-                    [&](const gate_outcome& outcome) { ended = outcome; });
+                    [&](gate_outcome outcome) { ended = std::move(outcome); });
   server.RunFor(milliseconds(50));
   REQUIRE_FALSE(ended);
   server.Gate().SetEvacuated(true);
--- a/tests/proxy/listener_test.cc
+++ b/tests/proxy/listener_test.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
@@ -88,6 +90,29 @@
   CHECK(fixture.tested.ActiveRequests() == 1);
 }
 
+// Guards against a process that is killed for the memory of answers that their
+// callers are slow to read.
+TEST_CASE("an answer holds its room until its caller has read it") {
+  constexpr std::size_t kMoreThanBuffers = 8'000'000;
+  std::optional<backend_servers::answer_memory> memory;
+  listener_fixture fixture(
+      [&](served_call&) -> net::awaitable<backend_servers::http_response> {
+        auto answer = co_await AnswerWith(kMoreThanBuffers);
+        answer.room = std::make_unique<backend_servers::answer_room>(
+            *memory, co_await net::this_coro::executor);
+        co_await answer.room->Grow(
+            kMoreThanBuffers, std::chrono::steady_clock::time_point::max());
+        co_return answer;
+      });
+  memory.emplace(backend_servers::answer_memory_options{});
+  fixture.Send();
+  fixture.RunFor(milliseconds(200));
+  CHECK(memory->UsedBytes() >= kMoreThanBuffers);
+  fixture.client.close();
+  fixture.RunFor(milliseconds(200));
+  CHECK(memory->UsedBytes() == 0);
+}
+
 // Guards against requests that are cut off during a planned stop: callers go on
 // using the connections that they have until the process is gone.
 TEST_CASE("a request on an open connection is answered during a stop") {
--- a/tests/proxy/messages_test.cc
+++ b/tests/proxy/messages_test.cc
@@ -113,7 +113,7 @@
   outcome.refused_by_server = true;
   outcome.status = gate_status{
       .load = {.running = 6, .slots = 6}, .server_id = "i-1", .version = "v1"};
-  const gate_outcome back = FromMessage(ToMessage(outcome));
+  const gate_outcome back = FromMessage(ToMessage(std::move(outcome)));
   CHECK(back.end == gate_outcome_kind::kNotRun);
   CHECK(back.reason == base::error_kind::kShed);
   CHECK(back.wait == milliseconds(70));
@@ -125,24 +125,28 @@
 // Guards against a message that grows where nothing is evacuated or cold.
 TEST_CASE(
     "evacuations and cold servers have headers only where there are any") {
-  gate_outcome outcome = NotRun(base::error_kind::kShed, "full");
-  outcome.status = gate_status{.server_id = "i-1", .version = "v1"};
-  const auto plain = ToMessage(outcome);
+  const auto make_outcome = [](const gate_status& status) {
+    gate_outcome outcome = NotRun(base::error_kind::kShed, "full");
+    outcome.status = status;
+    return outcome;
+  };
+  gate_status status{.server_id = "i-1", .version = "v1"};
+  const auto plain = ToMessage(make_outcome(status));
   CHECK(plain.find(kEvacuationsHeader) == plain.end());
   CHECK(plain.find(kColdLimitHeader) == plain.end());
   constexpr auto kIndex = static_cast<std::size_t>(shared_kind::kEvacuations);
-  outcome.status->held[kIndex] = {.number = 70, .era = 2};
-  outcome.status->load.cold_limit = 7.25;
-  const gate_outcome back = FromMessage(ToMessage(outcome));
+  status.held[kIndex] = {.number = 70, .era = 2};
+  status.load.cold_limit = 7.25;
+  const gate_outcome back = FromMessage(ToMessage(make_outcome(status)));
   REQUIRE(back.status);
-  CHECK(back.status->held == outcome.status->held);
+  CHECK(back.status->held == status.held);
   CHECK(back.status->load.cold_limit == 7.25);
 }
 
 TEST_CASE("an optional header that can't be read counts as missing") {
   gate_outcome outcome = NotRun(base::error_kind::kShed, "full");
   outcome.status = gate_status{.server_id = "i-1", .version = "v1"};
-  auto message = ToMessage(outcome);
+  auto message = ToMessage(std::move(outcome));
   message.set(kEvacuationsHeader, "1");
   message.set(kColdLimitHeader, "-4");
   const gate_outcome back = FromMessage(std::move(message));
@@ -154,7 +158,7 @@
 TEST_CASE("a message without an outcome header means an unknown outcome") {
   backend_servers::http_response message;
   message.result(503);
-  CHECK(FromMessage(message).end == gate_outcome_kind::kUnknown);
+  CHECK(FromMessage(std::move(message)).end == gate_outcome_kind::kUnknown);
 }
 
 TEST_CASE("an entry is unchanged after encoding as JSON and parsing") {
--- a/tests/proxy/notice_server.cc
+++ b/tests/proxy/notice_server.cc
@@ -139,13 +139,12 @@
   co_return outcome;
 }
 
-void notice_server::BeginOffer(
-    call_offer offer, const std::string& request_id,
-    std::function<void(const gate_outcome&)> on_end) {
+void notice_server::BeginOffer(call_offer offer, const std::string& request_id,
+                               std::function<void(gate_outcome)> on_end) {
   net::co_spawn(loop_, OfferOne(std::move(offer), request_id),
                 [on_end = std::move(on_end)](const std::exception_ptr&,
-                                             const gate_outcome& outcome) {
-                  on_end(outcome);
+                                             gate_outcome outcome) {
+                  on_end(std::move(outcome));
                 });
 }
 
@@ -154,10 +153,10 @@
   call_offer offer = MakeOffer();
   offer.told = std::move(told);
   BeginOffer(std::move(offer), std::to_string(++offered_),
-             [&](const gate_outcome& outcome) { ended = outcome; });
+             [&](gate_outcome outcome) { ended = std::move(outcome); });
   loop_.restart();
   while (!ended) loop_.run_one();
-  return *ended;
+  return *std::move(ended);
 }
 
 void notice_server::OfferFor(milliseconds span, milliseconds gap) {
--- a/tests/proxy/notice_server.h
+++ b/tests/proxy/notice_server.h
@@ -63,7 +63,7 @@
 
   // Begins to offer a request with this id; `on_end` gets its outcome.
   void BeginOffer(call_offer offer, const std::string& request_id,
-                  std::function<void(const gate_outcome&)> on_end);
+                  std::function<void(gate_outcome)> on_end);
   void RunFor(std::chrono::milliseconds span) {
     loop_.restart();
     loop_.run_for(span);
--- a/tests/proxy/suspect_messages_test.cc
+++ b/tests/proxy/suspect_messages_test.cc
@@ -90,7 +90,7 @@
   gate_outcome refused = NotRun(base::error_kind::kShed, "ended");
   refused.refusal = decisions::suspect_refusal::kWithheld;
   refused.suspect = MakeSuspect(now);
-  const gate_outcome seen = FromMessage(ToMessage(refused));
+  const gate_outcome seen = FromMessage(ToMessage(std::move(refused)));
   CHECK(seen.end == gate_outcome_kind::kNotRun);
   CHECK(seen.refusal == decisions::suspect_refusal::kWithheld);
   REQUIRE(seen.suspect);
