--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -1,5 +1,7 @@
 #include "app/proxy_process.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -52,6 +54,10 @@
 // divided by this.
 constexpr std::uint64_t kBodyMemoryDivisor = 8;
 
+// Allocations of this many bytes are given back to the system when they are
+// freed; without this, long bodies leave gaps in the heap.
+constexpr int kLargeAllocation = 131'072;
+
 http_response PlainAnswer(http::status status, std::string text) {
   http_response answer(status, 11);
   answer.set(http::field::content_type, "text/plain");
@@ -523,6 +529,7 @@
 }
 
 int RunProxyProcess(const platform_adapter& adapter) {
+  ::mallopt(M_MMAP_THRESHOLD, kLargeAllocation);
   const auto settings = adapter.read_settings();
   if (!settings) {
     std::cerr << "fireflyspar: " << settings.Failure().detail << '\n';
