MIXED: the clients of the older node take for an answer what the proxies do

A command could report what no node had said, and a write to the platform whose answer was none was called refused for another reason, or taken for done.

Cause: these clients read with cpprestsdk's client, which parses by itself: it took 000 to 199 and two digits as a status, names of fields with blanks or control bytes, lines without a name and "Transfer-Encoding: gzip". Its heads and bodies had no bound.

blocking_client waits for the exchanges that the proxies make, so there is one reader of answers. Reads may be made again if a kept connection breaks, as cpprestsdk did; writes have a connection of their own, as before. "Never sent" is now known of each call instead of guessed from the kind of error.

--- a/src/operators/node_client.cc
+++ b/src/operators/node_client.cc
@@ -1,29 +1,31 @@
 #include "operators/node_client.h"
 
-#include <cpprest/http_client.h>
+#include "backend_servers/blocking_client.h"
 
 namespace fireflyspar::operators {
 
+namespace http = backend_servers::http;
+
 base::result<std::string> CallNode(const node_request& request) {
   const std::string node = request.node.ToText();
   const auto unavailable = [&](const std::string& why) {
     return base::Fail(base::error_kind::kPeerUnavailable,
                       "node " + node + ": " + why);
   };
-  try {
-    web::http::client::http_client_config config;
-    config.set_timeout(request.timeout);
-    web::http::client::http_client client("http://" + node, config);
-    const web::http::http_response answer =
-        client.request(std::string(request.method), std::string(request.path))
-            .get();
-    std::string body = answer.extract_utf8string(true).get();
-    if (answer.status_code() == web::http::status_codes::OK) return body;
-    return unavailable("responded with status " +
-                       std::to_string(answer.status_code()) + " " + body);
-  } catch (const std::exception& error) {
-    return unavailable(error.what());
+  backend_servers::http_request message;
+  message.version(11);
+  message.method_string(backend_servers::ToBeast(request.method));
+  message.target(backend_servers::ToBeast(request.path));
+  backend_servers::blocking_client client({});
+  auto answer = client.Call({.to = request.node, .timeout = request.timeout},
+                            std::move(message));
+  if (answer.end != backend_servers::exchange_outcome::kAnswered) {
+    return unavailable(answer.detail);
   }
+  constexpr unsigned kOk = 200;
+  if (answer.status == kOk) return std::move(answer.body);
+  return unavailable("responded with status " + std::to_string(answer.status) +
+                     " " + answer.body);
 }
 
 }  // namespace fireflyspar::operators
--- a/src/platform/http_object_api.cc
+++ b/src/platform/http_object_api.cc
@@ -1,62 +1,36 @@
 #include "platform/http_object_api.h"
 
-#include <cpprest/http_client.h>
+#include <cpprest/base_uri.h>
 
 #include <algorithm>
-#include <condition_variable>
 #include <memory>
-#include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <utility>
 
+#include "backend_servers/blocking_client.h"
+
 namespace fireflyspar::platform {
 namespace {
 
+using backend_servers::blocking_answer;
+using backend_servers::exchange_outcome;
+using backend_servers::http_request;
 using base::error_kind;
 using std::chrono::milliseconds;
-using web::http::methods;
+namespace http = backend_servers::http;
 
 constexpr std::size_t kMaxValueBytes = 1'000'000;
-// Bytes that cpprestsdk adds to each request: request line, host, user agent
-// and length.
+// Request line, host and length.
 constexpr std::int64_t kRequestHeaderBytes = 150;
-constexpr std::int64_t kStatusLineBytes = 17;
-constexpr std::int64_t kHeaderSeparatorBytes = 4;
-
-struct reply {
-  int status = 0;
-  std::string body;
-};
-
-// A call that failed without an HTTP response.
-struct failed_call {
-  bool never_connected = false;
-  bool interrupted = false;
-  std::string detail;
-};
-
-// Holds the outcome of one call. It is shared with the call's completion
-// handler, which may run after the caller has given up waiting.
-struct pending_call {
-  std::optional<std::variant<reply, failed_call>> outcome;
-};
 
-std::int64_t SizeOf(const web::http::http_response& response) {
-  std::int64_t bytes = kStatusLineBytes;
-  for (const auto& [name, value] : response.headers()) {
-    bytes += static_cast<std::int64_t>(name.size() + value.size()) +
-             kHeaderSeparatorBytes;
-  }
-  return bytes;
-}
+// A list holds many values.
+constexpr backend_servers::answer_memory_options kAnswers{
+    .max_bytes = 134'217'728, .max_body_bytes = 67'108'864};
 
-bool NeverConnected(const std::error_code& code) {
-  return code == std::errc::host_unreachable ||
-         code == std::errc::network_unreachable ||
-         code == std::errc::connection_refused;
-}
+constexpr unsigned kOk = 200;
+constexpr unsigned kFirstServerErrorStatus = 500;
 
 struct call_counters {
   base::counter& get;
@@ -86,7 +60,8 @@
   };
 }
 
-base::failure FailureOf(const reply& answer, std::string_view subject) {
+base::failure FailureOf(const blocking_answer& answer,
+                        std::string_view subject) {
   const std::string detail =
       "platform answered " + std::to_string(answer.status) + " for " +
       std::string(subject) + ": " + answer.body.substr(0, 200);
@@ -106,17 +81,18 @@
   }
 }
 
-base::failure FailureOfRead(const failed_call& broken) {
-  return base::Fail(broken.interrupted ? error_kind::kCancelled
-                                       : error_kind::kPlatformUnavailable,
-                    broken.detail);
+base::failure FailureOfRead(const blocking_answer& failed) {
+  return base::Fail(failed.end == exchange_outcome::kCancelled
+                        ? error_kind::kCancelled
+                        : error_kind::kPlatformUnavailable,
+                    failed.detail);
 }
 
-// Only a connection that was never established proves that nothing was written.
-base::failure FailureOfWrite(const failed_call& broken) {
-  return base::Fail(broken.never_connected ? error_kind::kPlatformUnavailable
-                                           : error_kind::kResponseLost,
-                    broken.detail);
+// Only a request that was not sent proves that nothing was written.
+base::failure FailureOfWrite(const blocking_answer& failed) {
+  return base::Fail(failed.sent ? error_kind::kResponseLost
+                                : error_kind::kPlatformUnavailable,
+                    failed.detail);
 }
 
 object ReadObject(const nlohmann::json& from) {
@@ -128,7 +104,7 @@
 // Parses the body as JSON and converts it with `read`; fails if it has another
 // form.
 template <typename T, typename Read>
-base::result<T> Decode(const reply& answer, std::string_view subject,
+base::result<T> Decode(const blocking_answer& answer, std::string_view subject,
                        Read read) {
   try {
     return read(nlohmann::json::parse(answer.body));
@@ -155,14 +131,10 @@
   return "prefix=" + web::uri::encode_data_string(std::string(prefix));
 }
 
-class http_object_client
-    : public std::enable_shared_from_this<http_object_client> {
+class http_object_client {
  public:
   explicit http_object_client(const http_object_api_options& options)
-      : options_(options),
-        uri_("http://" + options.platform_address.ToText()),
-        counters_(MakeCounters(*options.metrics)),
-        reader_(uri_, Config(options.timeout)) {}
+      : options_(options), counters_(MakeCounters(*options.metrics)) {}
 
   base::result<object> Get(std::string_view key) {
     return Read<object>(counters_.get, PathOf(key), key, milliseconds{0},
@@ -194,7 +166,7 @@
                             std::to_string(kMaxValueBytes) + " are allowed");
     }
     return Write<std::uint64_t>(
-        counters_.put, methods::PUT, key, std::string(value), if_version,
+        counters_.put, http::verb::put, key, std::string(value), if_version,
         [](const nlohmann::json& from) {
           return from.at("version").get<std::uint64_t>();
         });
@@ -202,28 +174,13 @@
 
   base::status Remove(std::string_view key, std::uint64_t if_version) {
     return Write<base::success>(
-        counters_.remove, methods::DEL, key, "", if_version,
+        counters_.remove, http::verb::delete_, key, "", if_version,
         [](const nlohmann::json&) { return base::success{}; });
   }
 
-  void Interrupt() {
-    const std::lock_guard lock(mutex_);
-    interrupted_ = true;
-    changed_.notify_all();
-  }
+  void Interrupt() { client_.Interrupt(); }
 
  private:
-  using client = web::http::client::http_client;
-  using client_config = web::http::client::http_client_config;
-  using outcome = std::variant<reply, failed_call>;
-
-  static client_config Config(milliseconds timeout) {
-    client_config config;
-    config.set_timeout(timeout);
-    config.set_max_redirects(0);
-    return config;
-  }
-
   template <typename T, typename Decoder>
   base::result<T> Read(base::counter& calls, const std::string& target,
                        std::string_view subject, milliseconds wait,
@@ -232,25 +189,18 @@
       return RateLimited(subject);
     }
     ++calls;
-    web::http::http_request request(methods::GET);
-    request.set_request_uri(target);
-    outcome got = wait.count() == 0 ? Call(reader_, request, options_.timeout)
-                                    : CallWaiting(request, wait);
-    if (const auto* broken = std::get_if<failed_call>(&got)) {
-      return FailureOfRead(*broken);
-    }
-    const reply& answer = std::get<reply>(got);
-    if (answer.status != web::http::status_codes::OK) {
-      return FailureOf(answer, subject);
-    }
+    const blocking_answer answer =
+        Call(http_request(http::verb::get, target, 11),
+             {.to = options_.platform_address,
+              .timeout = wait + options_.timeout,
+              .is_idempotent = true});
+    if (answer.end != exchange_outcome::kAnswered) return FailureOfRead(answer);
+    if (answer.status != kOk) return FailureOf(answer, subject);
     return Decode<T>(answer, subject, decoder);
   }
 
-  // Sends a write over a new connection. If a reused connection breaks before
-  // the response, cpprestsdk resends the request by itself, and the second copy
-  // of a conditional write would fail with a conflict caused by the first.
   template <typename T, typename Decoder>
-  base::result<T> Write(base::counter& calls, const web::http::method& method,
+  base::result<T> Write(base::counter& calls, http::verb method,
                         std::string_view key, std::string value,
                         std::uint64_t if_version, Decoder decoder) {
     if (options_.budget != nullptr && !options_.budget->TryAcquireWrite()) {
@@ -258,34 +208,26 @@
     }
     ++calls;
     counters_.sent += static_cast<std::int64_t>(value.size());
-    web::http::http_request request(method);
-    request.set_request_uri(PathOf(key));
-    request.headers().add("If-Match", std::to_string(if_version));
-    if (method == methods::PUT) {
-      request.set_body(std::move(value), "application/octet-stream");
+    http_request request(method, PathOf(key), 11);
+    request.set(http::field::if_match, std::to_string(if_version));
+    if (method == http::verb::put) {
+      request.set(http::field::content_type, "application/octet-stream");
+      request.body() = std::move(value);
     }
-    client writer(uri_, Config(options_.timeout));
-    outcome got = Call(writer, request, options_.timeout);
-    if (const auto* broken = std::get_if<failed_call>(&got)) {
-      return FailureOfWrite(*broken);
+    const blocking_answer answer =
+        Call(std::move(request),
+             {.to = options_.platform_address, .timeout = options_.timeout});
+    if (answer.end != exchange_outcome::kAnswered) {
+      return FailureOfWrite(answer);
     }
-    const reply& answer = std::get<reply>(got);
-    if (answer.status >= 500) {
+    if (answer.status >= kFirstServerErrorStatus) {
       return base::Fail(error_kind::kResponseLost,
                         FailureOf(answer, key).detail);
     }
-    if (answer.status != web::http::status_codes::OK) {
-      return FailureOf(answer, key);
-    }
+    if (answer.status != kOk) return FailureOf(answer, key);
     return Decode<T>(answer, key, decoder);
   }
 
-  outcome CallWaiting(web::http::http_request& request, milliseconds wait) {
-    const milliseconds limit = wait + options_.timeout;
-    client waiting(uri_, Config(limit));
-    return Call(waiting, request, limit);
-  }
-
   base::failure RateLimited(std::string_view subject) {
     ++counters_.rate_limited;
     return base::Fail(error_kind::kPlatformOverRate,
@@ -293,80 +235,19 @@
                           std::string(subject));
   }
 
-  // Sends the request and waits up to `limit` for the whole response.
-  outcome Call(client& http_client, web::http::http_request& request,
-               milliseconds limit) {
-    counters_.sent +=
-        kRequestHeaderBytes +
-        static_cast<std::int64_t>(request.request_uri().to_string().size());
-    const auto pending = std::make_shared<pending_call>();
-    pplx::cancellation_token_source cancellation;
-    try {
-      Begin(http_client, request, pending, cancellation);
-    } catch (const std::exception& error) {
-      return failed_call{.detail = error.what()};
-    }
-    std::unique_lock lock(mutex_);
-    changed_.wait_for(lock, limit,
-                      [&] { return pending->outcome || interrupted_; });
-    if (pending->outcome) return std::move(*pending->outcome);
-    const bool interrupted = interrupted_;
-    lock.unlock();
-    cancellation.cancel();
-    return failed_call{
-        .interrupted = interrupted,
-        .detail = interrupted ? "the process is stopping"
-                              : "no answer from the platform within " +
-                                    std::to_string(limit.count()) + " ms"};
-  }
-
-  void Begin(client& http_client, web::http::http_request& request,
-             const std::shared_ptr<pending_call>& pending,
-             const pplx::cancellation_token_source& cancellation) {
-    const auto self = shared_from_this();
-    http_client.request(request, cancellation.get_token())
-        .then([self](const web::http::http_response& response) {
-          self->counters_.received += SizeOf(response);
-          return response.extract_vector().then(
-              [status = response.status_code()](
-                  const std::vector<unsigned char>& bytes) {
-                return reply{.status = status,
-                             .body = std::string(bytes.begin(), bytes.end())};
-              });
-        })
-        .then([self, pending](const pplx::task<reply>& finished) {
-          self->Finish(*pending, finished);
-        });
-  }
-
-  void Finish(pending_call& pending, const pplx::task<reply>& finished) {
-    outcome got = ToOutcome(finished);
-    const std::lock_guard lock(mutex_);
-    pending.outcome = std::move(got);
-    changed_.notify_all();
-  }
-
-  outcome ToOutcome(const pplx::task<reply>& finished) {
-    try {
-      reply got = finished.get();
-      counters_.received += static_cast<std::int64_t>(got.body.size());
-      return got;
-    } catch (const web::http::http_exception& error) {
-      return failed_call{.never_connected = NeverConnected(error.error_code()),
-                         .detail = error.what()};
-    } catch (const std::exception& error) {
-      return failed_call{.detail = error.what()};
-    }
+  blocking_answer Call(http_request request,
+                       const backend_servers::blocking_call_options& options) {
+    counters_.sent += kRequestHeaderBytes +
+                      static_cast<std::int64_t>(request.target().size());
+    blocking_answer answer = client_.Call(options, std::move(request));
+    counters_.received +=
+        static_cast<std::int64_t>(answer.head_bytes + answer.body.size());
+    return answer;
   }
 
   const http_object_api_options options_;
-  const web::uri uri_;
   call_counters counters_;
-  client reader_;
-
-  std::mutex mutex_;  // Guards the members below and every pending_call.
-  std::condition_variable changed_;
-  bool interrupted_ = false;
+  backend_servers::blocking_client client_{kAnswers};
 };
 
 }  // namespace
--- a/src/platform/http_object_api.h
+++ b/src/platform/http_object_api.h
@@ -1,5 +1,5 @@
-// Implements the platform's object API over HTTP and JSON with the client of
-// cpprestsdk, in the form that such services commonly have:
+// Implements the platform's object API over HTTP and JSON, in the form that such
+// services commonly have:
 //
 //   GET    /objects/KEY                  {"key","version","value"}, 404
 //   PUT    /objects/KEY  If-Match: V     {"version"}, 409 {"version"}, 413
@@ -32,7 +32,7 @@
 };
 
 // Returns an API object with its own HTTP client. Its calls may be made from
-// any thread except those of cpprestsdk's pool. Counts
+// any thread. Counts
 // fireflyspar_platform_calls_total{call=...} and
 // fireflyspar_control_bytes_total{seam="platform",direction=...}.
 object_api MakeHttpObjectApi(const http_object_api_options& options);
