Tests: listeners have addresses that no client's port can take

app_test failed once in a whole run, beside the other programs: "can't listen on 127.0.0.1:39055: Address already in use". Tests chose a free port, closed it and listened there later; meanwhile the port could become that of another test's client, which loopback gives 127.0.0.1. With the thousands of short connections of the new tests this came more often.

Each process has a loopback address of its own, where there are only its listeners, and no port is returned twice.

--- a/tests/adapter/fake_store.cc
+++ b/tests/adapter/fake_store.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 
+#include "../free_address.h"
 #include "platform/body.h"
 
 namespace fireflyspar::platform {
@@ -22,11 +23,6 @@
 // Interval at which a waiting watch checks the history.
 constexpr milliseconds kPollInterval{2};
 
-std::uint16_t FreePort(net::io_context& loop) {
-  tcp::acceptor probe(loop, {net::ip::address_v4::loopback(), 0});
-  return probe.local_endpoint().port();
-}
-
 std::uint64_t RevisionOf(const json& object) {
   return object["metadata"]["revision"].get<std::uint64_t>();
 }
@@ -34,7 +30,7 @@
 }  // namespace
 
 fake_store::fake_store(net::io_context& loop)
-    : loop_(loop), address_({.ip = "127.0.0.1", .port = FreePort(loop)}) {
+    : loop_(loop), address_(tests::FreeAddress(loop)) {
   listener_ = std::make_unique<proxy::listener>(
       loop.get_executor(),
       proxy::listener_options{
--- a/tests/app/graceful_shutdown_test.cc
+++ b/tests/app/graceful_shutdown_test.cc
@@ -180,7 +180,7 @@
   const auto draw = [&random](int least, int most) {
     return std::uniform_int_distribution<int>(least, most)(random);
   };
-  shutdown_fleet fleet("127.0.1." + std::to_string(1 + seed % 250));
+  shutdown_fleet fleet;
   const auto draw_request = [&](int instance) {
     constexpr std::array kBodies = {0U, 0U, 200U, 20'000U, 200'000U};
     return sent_request{
--- a/tests/app/shutdown_fleet.cc
+++ b/tests/app/shutdown_fleet.cc
@@ -10,6 +10,7 @@
 #include <set>
 #include <stdexcept>
 
+#include "../free_address.h"
 #include "app/graceful_shutdown.h"
 #include "proxy/gate_endpoint.h"
 
@@ -27,11 +28,6 @@
 constexpr char kWorkHeader[] = "Work-Ms";
 constexpr int kServers = 2;
 
-base::address FreeAddress(net::io_context& loop, const std::string& ip) {
-  const tcp::acceptor probe(loop, {net::ip::make_address_v4(ip), 0});
-  return {.ip = ip, .port = probe.local_endpoint().port()};
-}
-
 // Fleets run on several threads, where the test library can't check anything.
 void StartOrThrow(proxy::listener& listener) {
   const base::status started = listener.Start();
@@ -71,9 +67,9 @@
 // A backend server that does what the requests ask for, at most kSlots at once;
 // it refuses more.
 struct shutdown_fleet::server {
-  server(net::io_context& loop_of_fleet, const std::string& ip)
+  explicit server(net::io_context& loop_of_fleet)
       : loop(loop_of_fleet),
-        address(FreeAddress(loop, ip)),
+        address(tests::FreeAddress(loop)),
         listener(loop.get_executor(),
                  {.address = address,
                   .handler = [this](auto& call) { return Serve(call); }}) {
@@ -112,10 +108,10 @@
 };
 
 struct shutdown_fleet::process {
-  process(net::io_context& loop, const std::string& ip, int instance)
+  process(net::io_context& loop, int instance)
       : name("n" + std::to_string(instance)),
-        gate_address(FreeAddress(loop, ip)),
-        caller_address(FreeAddress(loop, ip)),
+        gate_address(tests::FreeAddress(loop)),
+        caller_address(tests::FreeAddress(loop)),
         log({.write = [](std::string_view bytes) { return bytes.size(); },
              .clock = base::SystemClock()}),
         gate({.executor = loop.get_executor(),
@@ -185,12 +181,12 @@
   bool is_gone = false;
 };
 
-shutdown_fleet::shutdown_fleet(const std::string& ip) {
+shutdown_fleet::shutdown_fleet() {
   for (int i = 0; i < kServers; ++i) {
-    servers_.push_back(std::make_unique<server>(loop_, ip));
+    servers_.push_back(std::make_unique<server>(loop_));
   }
   for (int i = 0; i < kInstances; ++i) {
-    processes_.push_back(std::make_unique<process>(loop_, ip, i));
+    processes_.push_back(std::make_unique<process>(loop_, i));
   }
   for (int i = 0; i < kServers; ++i) {
     const auto at = static_cast<std::size_t>(i);
--- a/tests/app/shutdown_fleet.h
+++ b/tests/app/shutdown_fleet.h
@@ -53,8 +53,7 @@
   // From SIGTERM to SIGKILL.
   static constexpr milliseconds kGrace{6000};
 
-  // `ip` is a loopback address; fleets that run at once have different ones.
-  explicit shutdown_fleet(const std::string& ip = "127.0.0.1");
+  shutdown_fleet();
   ~shutdown_fleet();
 
   // Sends the request on a connection of its own, and `next` on the same one
--- a/tests/proxy/broken_answers_test.cc
+++ b/tests/proxy/broken_answers_test.cc
@@ -19,6 +19,7 @@
 #include <sstream>
 #include <string>
 
+#include "../free_address.h"
 #include "proxy/gate_endpoint.h"
 #include "proxy/listener.h"
 #include "proxy/router.h"
@@ -33,11 +34,6 @@
 
 constexpr char kGoodBody[] = "good";
 
-base::address FreeAddress(net::io_context& loop) {
-  const tcp::acceptor probe(loop, {net::ip::address_v4::loopback(), 0});
-  return backend_servers::ToAddress(probe.local_endpoint());
-}
-
 // A server that answers each request with the same bytes, in which "ID" stands
 // for the request's id.
 class raw_server {
@@ -111,7 +107,7 @@
               .version = "v1",
               .slots = 2,
               .start_ms = 1}),
-        gate_address(FreeAddress(loop)),
+        gate_address(tests::FreeAddress(loop)),
         tested({.executor = loop.get_executor(),
                 .headers = headers,
                 .clock = base::SystemClock(),
--- a/tests/proxy/crash_fleet.cc
+++ b/tests/proxy/crash_fleet.cc
@@ -9,6 +9,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "../free_address.h"
 #include "proxy/gate_endpoint.h"
 #include "proxy/router.h"
 #include "proxy/suspect_exchange.h"
@@ -28,12 +29,6 @@
 // So many that each request may have a second attempt.
 constexpr double kRetriesPerWindow = 2000;
 
-base::address FreeAddress(net::io_context& loop) {
-  const net::ip::tcp::acceptor probe(loop,
-                                     {net::ip::address_v4::loopback(), 0});
-  return {.ip = "127.0.0.1", .port = probe.local_endpoint().port()};
-}
-
 std::string ServiceName(int service) { return "s" + std::to_string(service); }
 
 config::mesh_configuration_ptr MakeConfiguration(
@@ -149,7 +144,7 @@
     servers_.push_back(std::make_unique<crash_server>(
         loop_, options_.server, [this, i] { OnServerStart(i); }));
     processes_.push_back(
-        std::make_unique<process>(*this, i, FreeAddress(loop_)));
+        std::make_unique<process>(*this, i, tests::FreeAddress(loop_)));
   }
   for (const auto& each : servers_) each->Start();
 }
--- a/tests/proxy/listener_test.cc
+++ b/tests/proxy/listener_test.cc
@@ -12,6 +12,8 @@
 #include <stdexcept>
 #include <string>
 
+#include "../free_address.h"
+
 namespace fireflyspar::proxy {
 namespace {
 
@@ -63,10 +65,7 @@
   }
 
   net::io_context loop;
-  base::address address = [this] {
-    const tcp::acceptor probe(loop, {net::ip::address_v4::loopback(), 0});
-    return backend_servers::ToAddress(probe.local_endpoint());
-  }();
+  base::address address = tests::FreeAddress(loop);
   int errors = 0;
   listener tested;
   tcp::socket client{loop};
--- a/tests/proxy/notice_server.cc
+++ b/tests/proxy/notice_server.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
+#include "../free_address.h"
+
 namespace fireflyspar::proxy {
 namespace {
 
@@ -16,12 +18,6 @@
 constexpr milliseconds kWork{5};
 constexpr char kHealthPath[] = "/healthz";
 
-base::address FreeAddress(net::io_context& loop) {
-  const net::ip::tcp::acceptor probe(loop,
-                                     {net::ip::address_v4::loopback(), 0});
-  return {.ip = "127.0.0.1", .port = probe.local_endpoint().port()};
-}
-
 }  // namespace
 
 call_offer notice_server::MakeOffer() {
@@ -44,7 +40,7 @@
 
 notice_server::notice_server(notice_texts said)
     : said_(std::move(said)),
-      address_(FreeAddress(loop_)),
+      address_(tests::FreeAddress(loop_)),
       log_({.write = [](std::string_view bytes) { return bytes.size(); },
             .clock = base::SystemClock()}) {
   Listen();
--- a/tests/proxy/quota_exchange_test.cc
+++ b/tests/proxy/quota_exchange_test.cc
@@ -10,6 +10,7 @@
 #include <memory>
 #include <thread>
 
+#include "../free_address.h"
 #include "proxy/listener.h"
 
 namespace fireflyspar::proxy {
@@ -19,18 +20,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-base::address FreeAddress(net::io_context& loop) {
-  const net::ip::tcp::acceptor probe(loop,
-                                     {net::ip::address_v4::loopback(), 0});
-  return {.ip = "127.0.0.1", .port = probe.local_endpoint().port()};
-}
-
 struct quota_fixture {
   quota_fixture() {
     for (const auto* name : {"east", "west"}) {
       directory.Put({.instance = std::string("n-") + name,
                      .data_centre = name,
-                     .gate = FreeAddress(loop)});
+                     .gate = tests::FreeAddress(loop)});
     }
     east = Make("east");
     west = Make("west");
--- a/tests/proxy/router_test.cc
+++ b/tests/proxy/router_test.cc
@@ -14,6 +14,8 @@
 #include <string>
 #include <vector>
 
+#include "../free_address.h"
+
 namespace fireflyspar::proxy {
 namespace {
 
@@ -24,12 +26,6 @@
 constexpr char kDeadlineHeader[] = "Deadline-Ms";
 constexpr milliseconds kRouteTimeout{5000};
 
-base::address FreeAddress(net::io_context& loop) {
-  const net::ip::tcp::acceptor probe(loop,
-                                     {net::ip::address_v4::loopback(), 0});
-  return {.ip = "127.0.0.1", .port = probe.local_endpoint().port()};
-}
-
 // A router whose only gate and backend server are on its own instance. The
 // server notes the deadline that it is given.
 struct router_fixture {
@@ -115,7 +111,7 @@
   }
 
   net::io_context loop;
-  base::address address = FreeAddress(loop);
+  base::address address = tests::FreeAddress(loop);
   int given_ms = -1;
   int runs = 0;
   int last_id = 0;
--- a/tests/proxy/shared_object_puller_test.cc
+++ b/tests/proxy/shared_object_puller_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "../free_address.h"
 #include "proxy/listener.h"
 
 namespace fireflyspar::proxy {
@@ -15,12 +16,6 @@
 using std::chrono::milliseconds;
 namespace http = backend_servers::http;
 
-base::address FreeAddress(net::io_context& loop) {
-  const net::ip::tcp::acceptor probe(loop,
-                                     {net::ip::address_v4::loopback(), 0});
-  return {.ip = "127.0.0.1", .port = probe.local_endpoint().port()};
-}
-
 // A peer on a loopback port, and a process that asks it.
 struct puller_fixture {
   puller_fixture() {
@@ -49,7 +44,7 @@
   }
 
   net::io_context loop;
-  base::address address = FreeAddress(loop);
+  base::address address = tests::FreeAddress(loop);
   shared_objects theirs;
   shared_objects own;
   http::status status = http::status::ok;
