Tests: late requests of a planned stop, broken answers of the store and before 100 Continue

A proxy of four is told to end under load; new and kept connections bring requests and nested calls at all moments of the grace time, with bodies that stop half way, to a store that never answers, while other proxies offer theirs to its gate.

The store's writes and 100 Continue go through the same reader as all else.

--- a/tests/app/shutdown_fleet.cc
+++ b/tests/app/shutdown_fleet.cc
@@ -1,5 +1,6 @@
 #include "shutdown_fleet.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -8,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <map>
 #include <set>
+#include <sstream>
 #include <stdexcept>
 
 #include "../free_address.h"
@@ -62,6 +64,27 @@
   return std::make_shared<const config::mesh_configuration>(std::move(known));
 }
 
+// Writes the request, with a pause in the middle of its body.
+net::awaitable<void> WriteRequest(tcp::socket& socket, http_request& request,
+                                  milliseconds body_pause,
+                                  boost::system::error_code& error) {
+  auto token = net::redirect_error(net::use_awaitable, error);
+  if (body_pause.count() == 0) {
+    co_await http::async_write(socket, request, token);
+    co_return;
+  }
+  const std::string body = request.body();
+  std::ostringstream head;
+  head << request.base();
+  const std::size_t half = body.size() / 2;
+  co_await net::async_write(
+      socket, net::buffer(head.str() + body.substr(0, half)), token);
+  if (error) co_return;
+  net::steady_timer pause(socket.get_executor(), body_pause);
+  co_await pause.async_wait(token);
+  co_await net::async_write(socket, net::buffer(body.substr(half)), token);
+}
+
 }  // namespace
 
 // A backend server that does what the requests ask for, at most kSlots at once;
@@ -88,13 +111,20 @@
     }
     ++runs[id];
     at_work.insert(id);
-    net::steady_timer timer(loop, milliseconds(std::stoi(std::string(
-                                      HeaderOf(call.request, kWorkHeader)))));
+    const auto number = [&call](const char* header) {
+      return milliseconds(
+          std::stoi(std::string(HeaderOf(call.request, header))));
+    };
+    const bool is_late = number(kWorkHeader) > number("Deadline-Ms");
+    net::steady_timer timer(
+        loop, std::min(number(kWorkHeader), number("Deadline-Ms")));
     call.cancel->OnCancel([&timer] { timer.cancel(); });
     boost::system::error_code ignored;
     co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
     call.cancel->OnCancel(nullptr);
     at_work.erase(id);
+    run_ended_at[id] = steady::now();
+    if (is_late) answer.result(http::status::gateway_timeout);
     answer.body() = id;
     answer.prepare_payload();
     co_return answer;
@@ -103,6 +133,7 @@
   net::io_context& loop;
   base::address address;
   std::map<std::string, int> runs;  // By request id.
+  std::map<std::string, steady::time_point> run_ended_at;
   std::set<std::string> at_work;
   proxy::listener listener;
 };
@@ -238,7 +269,9 @@
 
 net::awaitable<bool> shutdown_fleet::Exchange(tcp::socket& socket,
                                               const sent_request& sent) {
-  request_end end{.id = "id-" + std::to_string(++last_id_), .sent = sent};
+  request_end end{
+      .id = sent.id.empty() ? "id-" + std::to_string(++last_id_) : sent.id,
+      .sent = sent};
   const bool is_order = sent.route == fleet_route::kOrder;
   http_request request(is_order ? http::verb::post : http::verb::get,
                        is_order ? "/order/x" : "/urgent/x", 11);
@@ -250,7 +283,7 @@
   request.prepare_payload();
   boost::system::error_code error;
   auto token = net::redirect_error(net::use_awaitable, error);
-  co_await http::async_write(socket, request, token);
+  co_await WriteRequest(socket, request, sent.body_pause, error);
   end.sent_at = steady::now();
   http_response answer;
   beast::flat_buffer buffer;
@@ -265,6 +298,25 @@
   co_return !error && answer.keep_alive();
 }
 
+int shutdown_fleet::KeepConnection(int instance) {
+  process& at = *processes_[static_cast<std::size_t>(instance)];
+  kept_.push_back(std::make_unique<tcp::socket>(loop_));
+  kept_.back()->connect(backend_servers::ToEndpoint(at.caller_address));
+  return static_cast<int>(kept_.size()) - 1;
+}
+
+void shutdown_fleet::SendOnKept(int connection, const sent_request& request) {
+  ++open_calls_;
+  net::co_spawn(loop_,
+                CallOnKept(static_cast<std::size_t>(connection), request),
+                [this](const std::exception_ptr&) { --open_calls_; });
+}
+
+net::awaitable<void> shutdown_fleet::CallOnKept(std::size_t connection,
+                                                sent_request request) {
+  co_await Exchange(*kept_[connection], request);
+}
+
 void shutdown_fleet::End(int instance) {
   ++open_shutdowns_;
   net::co_spawn(loop_, EndProcess(instance),
@@ -309,7 +361,12 @@
   for (request_end& each : ends_) {
     for (const auto& at : servers_) {
       const auto found = at->runs.find(each.id);
-      if (found != at->runs.end()) each.runs += found->second;
+      if (found == at->runs.end()) continue;
+      each.runs += found->second;
+      const auto run_ended = at->run_ended_at.find(each.id);
+      if (run_ended != at->run_ended_at.end()) {
+        each.run_ended_at = run_ended->second;
+      }
     }
   }
 }
--- a/tests/app/shutdown_fleet.h
+++ b/tests/app/shutdown_fleet.h
@@ -32,6 +32,9 @@
   milliseconds work{100};
   milliseconds deadline{2000};
   std::size_t body_bytes = 0;
+  // Pause before the second half of the body.
+  milliseconds body_pause{0};
+  std::string id;  // Empty: the fleet chooses one.
 };
 
 // What its caller saw of a request, and its server.
@@ -44,6 +47,8 @@
   bool has_own_body = false;
   bool says_when_to_retry = false;
   int runs = 0;  // At its server.
+  // When the server last ended a run of it; nothing if it is still at work.
+  std::optional<steady::time_point> run_ended_at;
 };
 
 class shutdown_fleet {
@@ -61,6 +66,12 @@
   void Send(const sent_request& request,
             const std::optional<sent_request>& next = std::nullopt);
 
+  // Opens a connection to the instance, which is kept from then on. Returns its
+  // number.
+  int KeepConnection(int instance);
+  // Sends the request on a kept connection.
+  void SendOnKept(int connection, const sent_request& request);
+
   // Tells the instance's proxy to end, as SIGTERM does. When its time is over
   // its connections stay open here, but what it writes then comes too late.
   void End(int instance);
@@ -81,6 +92,7 @@
                             std::optional<sent_request> next);
   net::awaitable<bool> Exchange(net::ip::tcp::socket& socket,
                                 const sent_request& request);
+  net::awaitable<void> CallOnKept(std::size_t connection, sent_request request);
   net::awaitable<void> EndProcess(int instance);
   // A call to a store that does not answer.
   net::awaitable<void> CallSilentStore();
@@ -88,6 +100,7 @@
   net::io_context loop_;
   std::vector<std::unique_ptr<server>> servers_;
   std::vector<std::unique_ptr<process>> processes_;
+  std::vector<std::unique_ptr<net::ip::tcp::socket>> kept_;
   int open_calls_ = 0;
   int open_shutdowns_ = 0;
   int last_id_ = 0;
--- a/tests/backend_servers/broken_answers_test.cc
+++ b/tests/backend_servers/broken_answers_test.cc
@@ -1,4 +1,5 @@
 // Servers in trouble that send what is no answer. None of it may pass for one.
+#include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
@@ -225,6 +226,43 @@
   CheckIsNoAnswer(InChunks("Transfer-Encoding: chunked\r\n", body));
 }
 
+TEST_CASE("what follows a broken informational answer is no answer") {
+  const std::string interim =
+      GENERATE(as<std::string>(), "HTTP/1.1 103 Early\r\nNa me: v\r\n\r\n",
+               "HTTP/1.1 103 Early\r\nNa\x01me: v\r\n\r\n",
+               "HTTP/1.1 099 Early\r\n\r\n", "HTTP/1.1 1 Early\r\n\r\n",
+               "HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\nbody",
+               "HTTP/1.1 100 Continue\r\nTransfer-Encoding: gzip\r\n\r\n");
+  CheckIsNoAnswer(interim + WholeAnswer("a"));
+}
+
+// Guards against a body that is sent without having been asked for, and against
+// a refusal that is none: what comes where "100 Continue" is due is broken.
+TEST_CASE("no answer stands in for 100 Continue") {
+  const std::string sent = GENERATE(
+      as<std::string>(), "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\nNa me: v\r\n\r\n",
+      "HTTP/1.1 101 Continue\r\n\r\n", "HTTP/1.1 10 Continue\r\n\r\n",
+      "SSH-2.0-server\r\n\r\n");
+  CAPTURE(sent);
+  std::size_t more_bytes = 0;
+  peer_client client([&](tcp::socket& socket,
+                         const peer_request&) -> net::awaitable<void> {
+    co_await Write(socket, sent);
+    // Throws at the end of the connection.
+    std::array<char, 16> body{};
+    more_bytes +=
+        co_await socket.async_read_some(net::buffer(body), net::use_awaitable);
+  });
+  client.ExpectProxy();
+  const exchange_result ended = client.Upload("a", "body");
+  CHECK(ended.end == exchange_outcome::kBroken);
+  CHECK_FALSE(ended.sent);
+  client.RunFor(milliseconds(20));
+  CHECK(more_bytes == 0);
+}
+
 // Returns what the reader takes from a peer that sends these bytes.
 exchange_result Answered(const std::string& bytes) {
   peer_client client([&bytes](tcp::socket& socket,
