--- a/lab/load_generator.cc
+++ b/lab/load_generator.cc
@@ -23,7 +23,6 @@
 
 using backend_servers::connection;
 using backend_servers::http_request;
-using backend_servers::http_response;
 using boost::system::error_code;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
--- a/src/backend_servers/answer_bytes.cc
+++ b/src/backend_servers/answer_bytes.cc
@@ -36,7 +36,9 @@
   if (error != http::error::need_more) co_return error;
   // Cancelling the connection has no effect between two reads.
   if (room_.IsCancelled()) co_return net::error::operation_aborted;
-  if (from_.buffer.capacity() < from_.buffer.size() + kMinRead) {
+  const std::size_t needed = from_.buffer.size() + kMinRead;
+  if (needed > kMaxAnswerBuffer) co_return http::error::buffer_overflow;
+  if (needed > from_.buffer.capacity()) {
     const std::size_t twice = 2 * from_.buffer.capacity();
     error = co_await GrowBuffer(std::max(kFirstBuffer, twice));
     if (error) co_return error;
@@ -87,11 +89,7 @@
 
 net::awaitable<error_code> answer_bytes::GrowBuffer(std::size_t capacity) {
   const std::size_t wanted = std::min(capacity, kMaxAnswerBuffer);
-  if (wanted <= from_.buffer.capacity()) {
-    const bool is_full = from_.buffer.size() + kMinRead > kMaxAnswerBuffer;
-    co_return is_full ? make_error_code(http::error::buffer_overflow)
-                      : error_code();
-  }
+  if (wanted <= from_.buffer.capacity()) co_return error_code();
   const bool is_in_head = body_bytes_ == 0;
   if (is_in_head && wanted > kFirstBuffer) head_bytes_ = kLongHeadBytes;
   const error_code error = co_await Take(wanted, body_bytes_);
--- a/src/backend_servers/answer_bytes.h
+++ b/src/backend_servers/answer_bytes.h
@@ -33,11 +33,13 @@
   net::awaitable<error_code> ReadSome(answer_parser& into);
   error_code Parse(answer_parser& into);
 
-  // Make room before more is read: in the read buffer, for a body of this
-  // length, for the next bytes of a body whose length is not known.
+  // Make room before more is read: in the read buffer (which keeps its size if
+  // that is larger), for a body of this length, for the next bytes of a body
+  // whose length is not known.
   net::awaitable<error_code> GrowBuffer(std::size_t capacity);
   net::awaitable<error_code> MakeRoomFor(std::uint64_t body_length);
   net::awaitable<error_code> GrowBody(std::string& body);
+  // Waits for room for a read buffer and a body of these sizes, and the head.
   net::awaitable<error_code> Take(std::uint64_t buffer_bytes,
                                   std::uint64_t body_bytes);
 
--- a/src/backend_servers/answer_memory.cc
+++ b/src/backend_servers/answer_memory.cc
@@ -9,7 +9,8 @@
 struct answer_memory::state {
   explicit state(const answer_memory_options& options)
       : max_body_bytes(options.max_body_bytes),
-        // The body, the read buffer, and as much again for the head.
+        // A read buffer each for itself, for what a body without a length may
+        // take beyond the longest, and for the head.
         loan_bytes(options.max_body_bytes + 3 * kMaxAnswerBuffer),
         max_held(options.max_bytes > loan_bytes ? options.max_bytes - loan_bytes
                                                 : 0) {}
--- a/src/operators/node_client.cc
+++ b/src/operators/node_client.cc
@@ -4,8 +4,6 @@
 
 namespace fireflyspar::operators {
 
-namespace http = backend_servers::http;
-
 base::result<std::string> CallNode(const node_request& request) {
   const std::string node = request.node.ToText();
   const auto unavailable = [&](const std::string& why) {
--- a/src/platform/http_object_api.h
+++ b/src/platform/http_object_api.h
@@ -1,5 +1,5 @@
-// Implements the platform's object API over HTTP and JSON, in the form that such
-// services commonly have:
+// Implements the platform's object API over HTTP and JSON, in the form that
+// such services commonly have:
 //
 //   GET    /objects/KEY                  {"key","version","value"}, 404
 //   PUT    /objects/KEY  If-Match: V     {"version"}, 409 {"version"}, 413
--- a/tests/adapter/fake_store.cc
+++ b/tests/adapter/fake_store.cc
@@ -15,7 +15,6 @@
 
 using backend_servers::http_request;
 using backend_servers::http_response;
-using net::ip::tcp;
 using nlohmann::json;
 using std::chrono::milliseconds;
 namespace http = backend_servers::http;
--- a/tests/app/late_requests_test.cc
+++ b/tests/app/late_requests_test.cc
@@ -61,6 +61,7 @@
   shutdown_fleet fleet;
   std::vector<int> kept;
   constexpr int kKept = 150;
+  kept.reserve(kKept);
   for (int i = 0; i < kKept; ++i) kept.push_back(fleet.KeepConnection(kEnding));
   // Those that run at the server here make nested calls.
   constexpr int kParents = 3;
--- a/tests/app/shutdown_fleet.cc
+++ b/tests/app/shutdown_fleet.cc
@@ -73,7 +73,7 @@
     co_await http::async_write(socket, request, token);
     co_return;
   }
-  const std::string body = request.body();
+  const std::string& body = request.body();
   std::ostringstream head;
   head << request.base();
   const std::size_t half = body.size() / 2;
--- a/tests/backend_servers/strict_reader.cc
+++ b/tests/backend_servers/strict_reader.cc
@@ -44,8 +44,9 @@
                         std::ranges::all_of(line.substr(0, kDigits), IsDigit) &&
                         std::ranges::all_of(line, IsTextByte);
   if (!has_form) return std::nullopt;
+  const std::string digits(line.substr(0, kDigits));
   unsigned status = 0;
-  std::from_chars(line.data(), line.data() + kDigits, status);
+  std::from_chars(digits.data(), digits.data() + digits.size(), status);
   constexpr unsigned kFirstFinal = 200;
   constexpr unsigned kLast = 599;
   const bool is_final = status >= kFirstFinal && status <= kLast;
--- a/tests/proxy/messages_test.cc
+++ b/tests/proxy/messages_test.cc
@@ -158,7 +158,8 @@
 TEST_CASE("a message without an outcome header means an unknown outcome") {
   backend_servers::http_response message;
   message.result(503);
-  CHECK(FromMessage(std::move(message)).end == gate_outcome_kind::kUnknown);
+  const gate_outcome outcome = FromMessage(std::move(message));
+  CHECK(outcome.end == gate_outcome_kind::kUnknown);
 }
 
 TEST_CASE("an entry is unchanged after encoding as JSON and parsing") {
