Tests: no port is looked for that another test may take meanwhile

A fleet looked for a free port by listening on it for a moment, just when another thread began to listen there; and a port of 127.0.0.1 that was just closed, so that nobody should listen there, was given to another listener.

Addresses now come from a counter, at the process's own loopback address, below the ports that the system gives out: nothing has to be looked for.

--- a/tests/adapter/fake_store.cc
+++ b/tests/adapter/fake_store.cc
@@ -29,7 +29,7 @@
 }  // namespace
 
 fake_store::fake_store(net::io_context& loop)
-    : loop_(loop), address_(tests::FreeAddress(loop)) {
+    : loop_(loop), address_(tests::FreeAddress()) {
   listener_ = std::make_unique<proxy::listener>(
       loop.get_executor(),
       proxy::listener_options{
--- a/tests/app/shutdown_fleet.cc
+++ b/tests/app/shutdown_fleet.cc
@@ -92,7 +92,7 @@
 struct shutdown_fleet::server {
   explicit server(net::io_context& loop_of_fleet)
       : loop(loop_of_fleet),
-        address(tests::FreeAddress(loop)),
+        address(tests::FreeAddress()),
         listener(loop.get_executor(),
                  {.address = address,
                   .handler = [this](auto& call) { return Serve(call); }}) {
@@ -141,8 +141,8 @@
 struct shutdown_fleet::process {
   process(net::io_context& loop, int instance)
       : name("n" + std::to_string(instance)),
-        gate_address(tests::FreeAddress(loop)),
-        caller_address(tests::FreeAddress(loop)),
+        gate_address(tests::FreeAddress()),
+        caller_address(tests::FreeAddress()),
         log({.write = [](std::string_view bytes) { return bytes.size(); },
              .clock = base::SystemClock()}),
         gate({.executor = loop.get_executor(),
--- a/tests/callers/not_run_test.cc
+++ b/tests/callers/not_run_test.cc
@@ -6,25 +6,19 @@
 
 #include "tests/callers/scripted_server.h"
 #include "tests/callers/small_fleet.h"
+#include "tests/free_address.h"
 
 namespace fireflyspar::callers {
 namespace {
 
 using nlohmann::json;
 
-// Returns an address on which nothing listens any more.
-base::address UnusedAddress() {
-  const scripted_server closed_server(
-      [](const std::string&) { return scripted_answer{.closes = true}; });
-  return closed_server.Address();
-}
-
 std::string Error(const backend_servers::http_response& answer) {
   return json::parse(answer.body())["error"];
 }
 
 TEST_CASE("a request to an unreachable server is reported as not run") {
-  small_fleet fleet({{.id = "a", .server_address = UnusedAddress()}});
+  small_fleet fleet({{.id = "a", .server_address = tests::FreeAddress()}});
   const auto answer =
       CallOnce(fleet.At(0).path->Bound().outside, Post("/orders", "1"));
   CHECK(answer.result_int() == 503);
--- a/tests/free_address.h
+++ b/tests/free_address.h
@@ -4,11 +4,8 @@
 
 #include <unistd.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include <atomic>
 #include <cstdint>
-#include <mutex>
-#include <set>
 #include <string>
 
 #include "base/address.h"
@@ -25,19 +22,11 @@
          "." + std::to_string(process % kValues) + ".1";
 }
 
-// Returns an address at which a test can listen later: nobody listens there,
-// and it is returned once only.
-inline base::address FreeAddress(boost::asio::io_context& loop) {
-  static std::mutex mutex;
-  static std::set<std::uint16_t> returned;
-  const std::string ip = OwnLoopbackIp();
-  const std::lock_guard lock(mutex);
-  for (;;) {
-    const boost::asio::ip::tcp::acceptor probe(
-        loop, {boost::asio::ip::make_address_v4(ip), 0});
-    const std::uint16_t port = probe.local_endpoint().port();
-    if (returned.insert(port).second) return {.ip = ip, .port = port};
-  }
+// Returns an address at which nobody listens or listened; a test may do so
+// later. It is below the ports that the system gives out, and returned once.
+inline base::address FreeAddress() {
+  static std::atomic<std::uint16_t> next_port{10'000};
+  return {.ip = OwnLoopbackIp(), .port = next_port++};
 }
 
 }  // namespace fireflyspar::tests
--- a/tests/proxy/broken_answers_test.cc
+++ b/tests/proxy/broken_answers_test.cc
@@ -107,7 +107,7 @@
               .version = "v1",
               .slots = 2,
               .start_ms = 1}),
-        gate_address(tests::FreeAddress(loop)),
+        gate_address(tests::FreeAddress()),
         tested({.executor = loop.get_executor(),
                 .headers = headers,
                 .clock = base::SystemClock(),
--- a/tests/proxy/crash_fleet.cc
+++ b/tests/proxy/crash_fleet.cc
@@ -144,7 +144,7 @@
     servers_.push_back(std::make_unique<crash_server>(
         loop_, options_.server, [this, i] { OnServerStart(i); }));
     processes_.push_back(
-        std::make_unique<process>(*this, i, tests::FreeAddress(loop_)));
+        std::make_unique<process>(*this, i, tests::FreeAddress()));
   }
   for (const auto& each : servers_) each->Start();
 }
--- a/tests/proxy/listener_test.cc
+++ b/tests/proxy/listener_test.cc
@@ -65,7 +65,7 @@
   }
 
   net::io_context loop;
-  base::address address = tests::FreeAddress(loop);
+  base::address address = tests::FreeAddress();
   int errors = 0;
   listener tested;
   tcp::socket client{loop};
--- a/tests/proxy/notice_server.cc
+++ b/tests/proxy/notice_server.cc
@@ -40,7 +40,7 @@
 
 notice_server::notice_server(notice_texts said)
     : said_(std::move(said)),
-      address_(tests::FreeAddress(loop_)),
+      address_(tests::FreeAddress()),
       log_({.write = [](std::string_view bytes) { return bytes.size(); },
             .clock = base::SystemClock()}) {
   Listen();
--- a/tests/proxy/quota_exchange_test.cc
+++ b/tests/proxy/quota_exchange_test.cc
@@ -25,7 +25,7 @@
     for (const auto* name : {"east", "west"}) {
       directory.Put({.instance = std::string("n-") + name,
                      .data_centre = name,
-                     .gate = tests::FreeAddress(loop)});
+                     .gate = tests::FreeAddress()});
     }
     east = Make("east");
     west = Make("west");
--- a/tests/proxy/router_test.cc
+++ b/tests/proxy/router_test.cc
@@ -111,7 +111,7 @@
   }
 
   net::io_context loop;
-  base::address address = tests::FreeAddress(loop);
+  base::address address = tests::FreeAddress();
   int given_ms = -1;
   int runs = 0;
   int last_id = 0;
--- a/tests/proxy/shared_object_puller_test.cc
+++ b/tests/proxy/shared_object_puller_test.cc
@@ -44,7 +44,7 @@
   }
 
   net::io_context loop;
-  base::address address = tests::FreeAddress(loop);
+  base::address address = tests::FreeAddress();
   shared_objects theirs;
   shared_objects own;
   http::status status = http::status::ok;
