Smaller proxy_process.cc and gate.cc, and comments that explain more

What is of no concern to them moves out: plain answers, how the process gets its memory, and the result for an abandoned request. Nothing else changes.

--- a/src/app/proxy_process.cc
+++ b/src/app/proxy_process.cc
@@ -1,7 +1,5 @@
 #include "app/proxy_process.h"
 
-#include <malloc.h>
-
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,6 +15,8 @@
 #include "app/entry_publisher.h"
 #include "app/evacuation_follower.h"
 #include "app/graceful_shutdown.h"
+#include "app/plain_answer.h"
+#include "app/process_memory.h"
 #include "app/rollout_writer.h"
 #include "app/store_follower.h"
 #include "app/withheld_requests.h"
@@ -54,18 +54,6 @@
 // divided by this.
 constexpr std::uint64_t kBodyMemoryDivisor = 8;
 
-// Allocations of this many bytes are given back to the system when they are
-// freed; without this, long bodies leave gaps in the heap.
-constexpr int kLargeAllocation = 131'072;
-
-http_response PlainAnswer(http::status status, std::string text) {
-  http_response answer(status, 11);
-  answer.set(http::field::content_type, "text/plain");
-  answer.body() = std::move(text);
-  answer.prepare_payload();
-  return answer;
-}
-
 }  // namespace
 
 class proxy_process {
@@ -529,7 +517,7 @@
 }
 
 int RunProxyProcess(const platform_adapter& adapter) {
-  ::mallopt(M_MMAP_THRESHOLD, kLargeAllocation);
+  ReturnLargeAllocations();
   const auto settings = adapter.read_settings();
   if (!settings) {
     std::cerr << "fireflyspar: " << settings.Failure().detail << '\n';
--- a/src/backend_servers/http.h
+++ b/src/backend_servers/http.h
@@ -54,7 +54,8 @@
 // and trailers have no other limit.
 inline constexpr std::size_t kMaxBufferedBytes = 262'144;
 
-// Returns a copy that holds no room: whoever keeps it limits what it keeps.
+// Returns a copy without its room. The copy is not counted in any
+// answer_memory, so the caller has to limit the copies that it keeps.
 inline http_response CopyWithoutRoom(const http_response& from) {
   return http_response(http::response<http::string_body>(from));
 }
--- a/src/proxy/gate.cc
+++ b/src/proxy/gate.cc
@@ -5,6 +5,7 @@
 
 #include "backend_servers/exchange.h"
 #include "backend_servers/listening_check.h"
+#include "proxy/abandoned_request.h"
 #include "proxy/gate_log.h"
 #include "proxy/gate_scopes.h"
 #include "proxy/server_answers.h"
@@ -56,13 +57,6 @@
   return std::chrono::duration_cast<base::duration>(steady::now() - begun);
 }
 
-// Returns the result for a request that left the queue without a decision.
-admission_result Abandoned(const backend_servers::cancellation& cancel) {
-  return {.choice = admission_choice::kRefuse,
-          .reason = cancel.IsCancelled() ? error_kind::kCancelled
-                                         : error_kind::kDeadlinePassed};
-}
-
 }  // namespace
 
 gate::gate(gate_options options)
--- a/tests/backend_servers/answer_memory_test.cc
+++ b/tests/backend_servers/answer_memory_test.cc
@@ -143,7 +143,8 @@
   CHECK(client.Answers().UsedBytes() == 0);
 }
 
-// Guards against large answers that never pass on a small machine.
+// Guards against a limit so low, on a machine with little memory, that a long
+// answer waits for room until its deadline.
 TEST_CASE("an answer of any allowed size is read where there is least memory") {
   const auto how =
       GENERATE(framing::kLength, framing::kChunks, framing::kClose);
--- a/tests/backend_servers/parsed_answer_test.cc
+++ b/tests/backend_servers/parsed_answer_test.cc
@@ -96,8 +96,8 @@
   std::mt19937 random_;
 };
 
-// Guards against bytes that are no answer, or another one, to whoever reads
-// them next.
+// Guards against passing on a message that its recipient rejects, or parses as
+// a different answer.
 TEST_CASE("what is taken for an answer is read as the same when passed on") {
   constexpr int kAnswersPerSeed = 2000;
   const tests::seed_range seeds = tests::SoakSeeds({.first = 1, .last = 20});
