A node's operators' port can be stopped while it is called

What callers saw: a node that was stopped while monitoring read its operators' port ended by SIGSEGV, or answered /status with 404.

Cause: cpprestsdk's listener closes its connections' sockets on one thread while others begin a write or a read on them.

Why it works: callers/http_service is the call path's listener with threads of its own; a connection belongs to one thread and is closed when no thread runs any more. What is being answered is answered first, within a limit.

--- a/src/app/node_command.cc
+++ b/src/app/node_command.cc
@@ -4,7 +4,6 @@
 #include "app/node_settings.h"
 #include "base/end_signals.h"
 #include "base/log.h"
-#include "operators/http_server.h"
 
 namespace fireflyspar::app {
 namespace {
@@ -48,8 +47,6 @@
   if (!line.parsed) return line.exit_code;
 
   const base::end_signals signals;
-  constexpr int kPoolThreads = 4;  // Shared by operators and platform calls.
-  operators::SetPoolThreads(kPoolThreads);
   base::InitLogging(ToLogLevel(line.parsed->Text("log-level")));
   node running(ToNodeOptions(*line.parsed));
   if (const base::status started = running.Start(); !started) {
--- a/src/operators/http_server.cc
+++ b/src/operators/http_server.cc
@@ -1,20 +1,20 @@
 #include "operators/http_server.h"
 
-#include <cpprest/http_listener.h>
-#include <pplx/threadpool.h>
-
 #include <algorithm>
 #include <exception>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
-#include "base/log.h"
+#include "callers/http_service.h"
 
 namespace fireflyspar::operators {
 namespace {
 
-namespace http = web::http;
-using http::experimental::listener::http_listener;
+using backend_servers::http_request;
+using backend_servers::http_response;
+namespace http = backend_servers::http;
+namespace net = boost::asio;
 
 handler_response RunHandler(const http_handler& handler,
                             const std::string& body) {
@@ -25,17 +25,27 @@
   }
 }
 
+// Returns the request's path without its query.
+std::string_view PathOf(const http_request& request) {
+  const std::string_view target = backend_servers::ToView(request.target());
+  return target.substr(0, target.find('?'));
+}
+
 handler_response Dispatch(const http_server_options& options,
-                          const std::string& method, const std::string& path,
-                          const std::string& body) {
+                          const http_request& request) {
+  const std::string_view method =
+      backend_servers::ToView(request.method_string());
+  const std::string_view path = PathOf(request);
   const auto found =
       std::ranges::find_if(options.handlers, [&](const http_handler& each) {
         return each.method == method && each.path == path;
       });
   if (found == options.handlers.end()) {
-    return ErrorResponse(base::Fail(base::error_kind::kNotFound,
-                                    "nothing answers " + method + " " + path));
+    return ErrorResponse(base::Fail(
+        base::error_kind::kNotFound,
+        "nothing answers " + std::string(method) + " " + std::string(path)));
   }
+  const std::string& body = request.body();
   if (body.size() > options.max_body_bytes) {
     return ErrorResponse(
         base::Fail(base::error_kind::kTooLarge,
@@ -46,18 +56,13 @@
   return RunHandler(*found, body);
 }
 
-void Reply(const http::http_request& request, const handler_response& answer) {
-  http::http_response response(static_cast<http::status_code>(answer.status));
-  response.set_body(answer.body, answer.content_type);
-  // The client may have disconnected, so a failure to send is only logged.
-  request.reply(response).then([](const pplx::task<void>& sent) {
-    try {
-      sent.get();
-    } catch (const std::exception& error) {
-      base::Log(base::log_level::kDebug, "operators_answer_not_sent",
-                {{"why", error.what()}});
-    }
-  });
+http_response ToHttp(handler_response made) {
+  http_response answer(static_cast<http::status>(made.status), 11);
+  answer.set(http::field::content_type,
+             backend_servers::ToBeast(made.content_type));
+  answer.body() = std::move(made.body);
+  answer.prepare_payload();
+  return answer;
 }
 
 }  // namespace
@@ -68,62 +73,30 @@
   return {.status = row.http_status, .body = body.dump() + "\n"};
 }
 
-void SetPoolThreads(int threads) {
-  try {
-    crossplat::threadpool::initialize_with_threads(
-        static_cast<std::size_t>(threads));
-  } catch (const std::exception& error) {
-    // The pool is already in use, for example in a test with several nodes.
-    base::Log(base::log_level::kDebug, "pool_size_not_set",
-              {{"why", error.what()}});
-  }
-}
-
 class http_server::state {
  public:
-  explicit state(http_server_options options) : options_(std::move(options)) {}
-
-  base::status Start() {
-    const std::string uri = "http://" + options_.listen_address.ToText();
-    try {
-      listener_ = std::make_unique<http_listener>(uri);
-      listener_->support(
-          [this](const http::http_request& request) { Handle(request); });
-      listener_->open().wait();
-    } catch (const std::exception& error) {
-      return base::Fail(base::error_kind::kBadSettings,
-                        "cannot listen on " + uri + ": " + error.what());
-    }
-    return base::success{};
-  }
-
-  void Stop() {
-    if (!listener_) return;
-    try {
-      listener_->close().wait();
-    } catch (const std::exception& error) {
-      base::Log(base::log_level::kDebug, "operators_port_not_closed",
-                {{"why", error.what()}});
-    }
-    listener_.reset();
-  }
+  explicit state(http_server_options options)
+      : options_(std::move(options)),
+        service_(
+            {.workers = kWorkers,
+             .listener = {.address = options_.listen_address,
+                          .handler = [this](callers::incoming_request& call) {
+                            return Handle(call);
+                          }}}) {}
+
+  base::status Start() { return service_.Start(); }
+  void Stop() { service_.Stop(); }
 
  private:
-  void Handle(http::http_request request) {
-    request.extract_string(true).then(
-        [this, request](const pplx::task<std::string>& read) {
-          try {
-            Reply(request, Dispatch(options_, request.method(),
-                                    request.relative_uri().path(), read.get()));
-          } catch (const std::exception& error) {
-            Reply(request, ErrorResponse(base::Fail(
-                               base::error_kind::kBadRequest, error.what())));
-          }
-        });
+  // A handler that takes long must not keep a health check waiting.
+  static constexpr int kWorkers = 2;
+
+  net::awaitable<http_response> Handle(const callers::incoming_request& call) {
+    co_return ToHttp(Dispatch(options_, call.request));
   }
 
   http_server_options options_;
-  std::unique_ptr<http_listener> listener_;
+  callers::http_service service_;
 };
 
 http_server::http_server(http_server_options options)
--- a/src/operators/http_server.h
+++ b/src/operators/http_server.h
@@ -1,7 +1,7 @@
-// The HTTP server on a node's operators' port, built on cpprestsdk. It serves
-// status, metrics, health and drain, and receives the announcements of the
-// backend server on the node's instance. Handlers are plain functions from a
-// request body to a response, so that they can be tested without a socket.
+// The HTTP server on a node's operators' port. It serves status, metrics,
+// health and drain, and receives the announcements of the backend server on the
+// node's instance. Handlers are plain functions from a request body to a
+// response, so that they can be tested without a socket.
 #ifndef FIREFLYSPAR_OPERATORS_HTTP_SERVER_H_
 #define FIREFLYSPAR_OPERATORS_HTTP_SERVER_H_
 
@@ -32,11 +32,6 @@
   std::function<handler_response(const std::string& body)> run;
 };
 
-// Sets the size of cpprestsdk's thread pool, which the whole process shares and
-// which has 40 threads by default. Must be called before anything else uses the
-// library.
-void SetPoolThreads(int threads);
-
 struct http_server_options {
   base::address listen_address;
   std::size_t max_body_bytes = 65536;
@@ -53,7 +48,8 @@
   // Binds the address and starts to serve requests.
   base::status Start();
 
-  // Stops listening and waits until no handler is running.
+  // Stops listening, lets what is being answered be answered, and closes all
+  // connections. No handler runs afterwards.
   void Stop();
 
  private:
