The platform's stand-in can be stopped while it is called

What was seen: platform_test ended by SIGSEGV in a whole run of the tests, in "a relay offers what is in force and every later version".

Why it works: the stand-in uses callers/http_service. A held call keeps no thread, and refers to its event loop only while that runs. A call that arrives while the stand-in closes is answered at once. The system chooses the port while binding, so none is looked for any more.

--- a/lab/platform_command.cc
+++ b/lab/platform_command.cc
@@ -1,11 +1,6 @@
 // The subcommand `platform`, which runs the platform's stand-in.
 #include <array>
 #include <iostream>
-#include <utility>
-
-// Included after <utility>, since a Boost header that it includes uses
-// <utility> without including it.
-#include <pplx/threadpool.h>
 
 #include "base/end_signals.h"
 #include "base/settings.h"
@@ -16,8 +11,6 @@
 
 using base::setting_kind;
 
-constexpr std::size_t kPoolThreads = 4;
-
 constexpr std::array kSettings = {
     base::setting{.name = "address",
                   .kind = setting_kind::kAddress,
@@ -44,7 +37,6 @@
     return base::ErrorInfoFor(base::error_kind::kBadSettings).exit_code;
   }
   const base::end_signals signals;
-  crossplat::threadpool::initialize_with_threads(kPoolThreads);
   platform_stand_in stand_in(
       {.address = line.parsed->Address("address"), .faults = *faults});
   const auto started = stand_in.Start();
--- a/lab/platform_http.cc
+++ b/lab/platform_http.cc
@@ -1,36 +1,26 @@
 #include "lab/platform_http.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <cpprest/base_uri.h>
 
 #include <algorithm>
 #include <charconv>
 #include <iterator>
-
-#include "base/log.h"
+#include <utility>
 
 namespace fireflyspar::lab {
+namespace {
 
+using backend_servers::http_request;
+using backend_servers::http_response;
 using nlohmann::json;
-using web::http::http_request;
-using web::http::status_code;
-using web::http::status_codes;
-
-std::uint16_t FreePort() {
-  const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in wanted{};
-  wanted.sin_family = AF_INET;
-  wanted.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof wanted;
-  auto* generic = reinterpret_cast<sockaddr*>(&wanted);
-  const bool bound = ::bind(handle, generic, size) == 0 &&
-                     ::getsockname(handle, generic, &size) == 0;
-  ::close(handle);
-  return bound ? ntohs(wanted.sin_port) : 0;
+namespace http = backend_servers::http;
+
+web::uri UriOf(const http_request& request) {
+  return {std::string(backend_servers::ToView(request.target()))};
 }
 
+}  // namespace
+
 std::uint64_t NumberOf(std::string_view text) {
   std::uint64_t number = 0;
   std::from_chars(text.data(), text.data() + text.size(), number);
@@ -53,39 +43,33 @@
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-answer ErrorAnswer(status_code status, std::string_view reason) {
+answer ErrorAnswer(http::status status, std::string_view reason) {
   return {.status = status, .body = DumpJson({{"error", reason}})};
 }
 
-std::string QueryValue(const http_request& request, const std::string& name) {
-  const auto query = web::uri::split_query(request.relative_uri().query());
-  const auto found = query.find(name);
-  return found == query.end() ? "" : web::uri::decode(found->second);
+http_response ToHttp(answer made) {
+  http_response response(made.status, 11);
+  response.set(http::field::content_type, "application/json");
+  if (made.status == http::status::too_many_requests) {
+    response.set(http::field::retry_after, "1");
+  }
+  response.body() = std::move(made.body);
+  response.prepare_payload();
+  return response;
 }
 
-std::uint64_t IfMatch(const http_request& request) {
-  const auto found = request.headers().find("If-Match");
-  return found == request.headers().end() ? 0 : NumberOf(found->second);
+std::string PathOf(const http_request& request) {
+  return web::uri::decode(UriOf(request).path());
 }
 
-void LogBroken(const std::exception& error) {
-  base::Log(base::log_level::kDebug, "exchange_broken",
-            {{"error", error.what()}});
+std::string QueryValue(const http_request& request, const std::string& name) {
+  const auto query = web::uri::split_query(UriOf(request).query());
+  const auto found = query.find(name);
+  return found == query.end() ? "" : web::uri::decode(found->second);
 }
 
-pplx::task<void> Send(const http_request& request, const answer& made) {
-  web::http::http_response response(made.status);
-  response.set_body(made.body, "application/json");
-  if (made.status == status_codes::TooManyRequests) {
-    response.headers().add("Retry-After", "1");
-  }
-  return request.reply(response).then([](const pplx::task<void>& sent) {
-    try {
-      sent.get();
-    } catch (const std::exception& error) {
-      LogBroken(error);
-    }
-  });
+std::uint64_t IfMatch(const http_request& request) {
+  return NumberOf(backend_servers::HeaderOf(request, "If-Match"));
 }
 
 }  // namespace fireflyspar::lab
--- a/lab/platform_stand_in.cc
+++ b/lab/platform_stand_in.cc
@@ -1,7 +1,5 @@
 #include "lab/platform_stand_in.h"
 
-#include <cpprest/http_listener.h>
-
 #include <algorithm>
 #include <chrono>
 #include <condition_variable>
@@ -15,25 +13,29 @@
 #include <vector>
 
 #include "base/utf8.h"
+#include "callers/http_service.h"
+#include "lab/held_call.h"
 #include "lab/platform_http.h"
 #include "lab/platform_store.h"
 
 namespace fireflyspar::lab {
 namespace {
 
+using backend_servers::http_request;
+using backend_servers::http_response;
 using nlohmann::json;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
-using web::http::http_request;
-using web::http::methods;
-using web::http::status_codes;
-using web::http::experimental::listener::http_listener;
+namespace http = backend_servers::http;
+namespace net = boost::asio;
 
 constexpr std::string_view kObjectPath = "/objects/";
 constexpr milliseconds kMaxWatchWait{120'000};
 
+constexpr int kWorkers = 2;
+
 struct pending_watch {
-  http_request request;
+  held_call_ptr call;
   std::string prefix;
   std::uint64_t after = 0;
 };
@@ -61,13 +63,10 @@
 
 }  // namespace
 
-class platform_stand_in::state
-    : public std::enable_shared_from_this<platform_stand_in::state> {
+class platform_stand_in::state {
  public:
   explicit state(platform_stand_in_options options)
-      : address_(std::move(options.address)), faults_(options.faults) {
-    if (address_.port == 0) address_.port = FreePort();
-  }
+      : address_(std::move(options.address)), faults_(options.faults) {}
 
   base::status Start() {
     const base::status opened = Open();
@@ -89,11 +88,11 @@
   base::address Address() const { return address_; }
 
   void SetFaults(const platform_faults& faults) {
-    std::list<http_request> unanswered;
+    std::vector<held_call_ptr> unanswered;
     {
       const std::lock_guard lock(mutex_);
       faults_ = faults;
-      unanswered.swap(unanswered_requests_);
+      unanswered.swap(unanswered_calls_);
       if (faults.refuse_ms > 0) {
         const auto now = steady_clock::now();
         scheduled_actions_.emplace(now, [this] { Close(); });
@@ -112,55 +111,49 @@
 
  private:
   base::status Open() {
-    try {
-      auto listener = std::make_unique<http_listener>(
-          web::uri("http://" + address_.ToText()));
-      listener->support([weak = weak_from_this()](const http_request& request) {
-        if (const auto self = weak.lock()) self->Handle(request);
-      });
-      listener->open().wait();
-      listener_ = std::move(listener);
-      return base::success{};
-    } catch (const std::exception& error) {
-      return base::Fail(
-          base::error_kind::kBadSettings,
-          "cannot listen on " + address_.ToText() + ": " + error.what());
+    auto service =
+        std::make_unique<callers::http_service>(callers::http_service_options{
+            .workers = kWorkers,
+            .listener = {.address = address_,
+                         .handler = [this](callers::incoming_request& call) {
+                           return Handle(call);
+                         }}});
+    SetOpen(true);
+    base::status started = service->Start();
+    if (!started) {
+      SetOpen(false);
+      return started;
     }
+    if (address_.port == 0) address_ = service->Address();
+    service_ = std::move(service);
+    return started;
   }
 
-  // Closes the listener. All waiting requests are answered first, since the
-  // library's close() ends only when no request is open.
+  void SetOpen(bool is_open) {
+    const std::lock_guard lock(mutex_);
+    is_open_ = is_open;
+  }
+
+  // Stops listening. All waiting calls are answered first, and those that still
+  // arrive at once, so that none is left open.
   void Close() {
-    std::list<http_request> waiting;
+    std::vector<held_call_ptr> waiting;
     {
       const std::lock_guard lock(mutex_);
-      waiting.swap(unanswered_requests_);
-      for (registered_watch& each : pending_watches_) {
-        waiting.push_back(each.request);
-      }
+      is_open_ = false;
+      waiting.swap(unanswered_calls_);
+      std::ranges::transform(pending_watches_, std::back_inserter(waiting),
+                             &registered_watch::call);
       pending_watches_.clear();
     }
-    // The library crashes if it closes a connection on which an answer is about
-    // to be written, so all answers are sent before it closes.
-    for (const pplx::task<void>& sent : AnswerAll(waiting)) sent.wait();
-    try {
-      if (listener_) listener_->close().wait();
-    } catch (const std::exception& error) {
-      LogBroken(error);
-    }
-    listener_.reset();
+    AnswerAll(waiting);
+    service_.reset();
   }
 
-  static std::vector<pplx::task<void>> AnswerAll(
-      const std::list<http_request>& requests) {
-    std::vector<pplx::task<void>> sent;
-    sent.reserve(requests.size());
-    std::ranges::transform(
-        requests, std::back_inserter(sent), [](const http_request& each) {
-          return Send(each,
-                      ErrorAnswer(status_codes::ServiceUnavailable, "stopped"));
-        });
-    return sent;
+  static void AnswerAll(const std::vector<held_call_ptr>& calls) {
+    std::ranges::for_each(calls, [](const held_call_ptr& each) {
+      each->Answer(ErrorAnswer(http::status::service_unavailable, "stopped"));
+    });
   }
 
   // Runs actions when they are due: delayed answers, timeouts of watches, and
@@ -188,91 +181,85 @@
     std::ranges::for_each(rest, [](const auto& each) { each.second(); });
   }
 
-  void Handle(const http_request& request) {
-    const std::string path = web::uri::decode(request.relative_uri().path());
-    if (path == "/faults" && request.method() == methods::POST) {
-      HandleFaults(request);
-      return;
+  net::awaitable<http_response> Handle(callers::incoming_request& incoming) {
+    const auto call = std::make_shared<held_call>(std::move(incoming.request));
+    // Nobody reads the answer of a caller that has gone.
+    incoming.cancel->OnCancel([call] {
+      call->Answer(ErrorAnswer(http::status::service_unavailable, "gone"));
+    });
+    try {
+      Dispatch(call);
+    } catch (const std::exception& error) {
+      call->Answer(ErrorAnswer(http::status::bad_request, error.what()));
     }
-    if (path == "/stats") {
-      Send(request, {.body = StatsText()});
-      return;
+    co_return ToHttp(co_await call->Wait());
+  }
+
+  void Dispatch(const held_call_ptr& call) {
+    const std::string path = PathOf(call->Request());
+    if (path == "/faults" && call->Request().method() == http::verb::post) {
+      HandleFaults(call);
+    } else if (path == "/stats") {
+      call->Answer({.body = StatsText()});
+    } else {
+      HandleCall(call, path);
     }
-    request.extract_vector().then(
-        [self = shared_from_this(), request,
-         path](const pplx::task<std::vector<unsigned char>>& read) {
-          try {
-            const auto bytes = read.get();
-            self->HandleCall(request, path,
-                             std::string(bytes.begin(), bytes.end()));
-          } catch (const std::exception& error) {
-            LogBroken(error);
-          }
-        });
   }
 
-  void HandleFaults(const http_request& request) {
-    request.extract_vector().then(
-        [self = shared_from_this(),
-         request](const pplx::task<std::vector<unsigned char>>& read) {
-          try {
-            const auto bytes = read.get();
-            const auto faults =
-                ParseFaults(std::string(bytes.begin(), bytes.end()));
-            Send(request, faults ? answer{}
-                                 : ErrorAnswer(status_codes::BadRequest,
-                                               faults.Failure().detail));
-            if (faults) self->SetFaults(*faults);
-          } catch (const std::exception& error) {
-            LogBroken(error);
-          }
-        });
+  void HandleFaults(const held_call_ptr& call) {
+    const auto faults = ParseFaults(call->Request().body());
+    call->Answer(faults ? answer{}
+                        : ErrorAnswer(http::status::bad_request,
+                                      faults.Failure().detail));
+    if (faults) SetFaults(*faults);
   }
 
-  void HandleCall(const http_request& request, const std::string& path,
-                  std::string body) {
-    std::unique_lock lock(mutex_);
-    CountCall(request, path, body.size());
+  void HandleCall(const held_call_ptr& call, const std::string& path) {
+    const std::lock_guard lock(mutex_);
+    const http_request& request = call->Request();
+    if (!is_open_) {
+      AnswerAll({call});
+      return;
+    }
+    CountCall(request, path);
     if (faults_.hang) {
-      unanswered_requests_.push_back(request);
+      unanswered_calls_.push_back(call);
       return;
     }
     if (faults_.down) {
-      Reply(request, ErrorAnswer(status_codes::ServiceUnavailable, "down"));
+      Reply(call, ErrorAnswer(http::status::service_unavailable, "down"));
       return;
     }
-    const bool is_write = request.method() != methods::GET;
+    const bool is_write = request.method() != http::verb::get;
     if (!(is_write ? writes_.TryAcquire(faults_.writes_per_second)
                    : reads_.TryAcquire(faults_.reads_per_second))) {
       ++stats_.rate_limited;
-      Reply(request, ErrorAnswer(status_codes::TooManyRequests, "over rate"));
+      Reply(call, ErrorAnswer(http::status::too_many_requests, "over rate"));
       return;
     }
     if (path == "/watch") {
-      HandleWatch(request);
+      HandleWatch(call);
       return;
     }
-    const answer made =
-        is_write ? Write(request, path, std::move(body)) : Read(request, path);
-    const bool effective = made.status == status_codes::OK;
+    const answer made = is_write ? Write(request, path) : Read(request, path);
+    const bool effective = made.status == http::status::ok;
     if (is_write && effective && faults_.lose_answers > 0) {
       --faults_.lose_answers;
-      unanswered_requests_.push_back(request);
+      unanswered_calls_.push_back(call);
     } else {
-      Reply(request, made);
+      Reply(call, made);
     }
     if (is_write && effective) AnswerChangedWatches();
   }
 
-  void CountCall(const http_request& request, const std::string& path,
-                 std::size_t bytes) {
-    const std::string kind = path == "/watch"                   ? "watch"
-                             : path == "/objects"               ? "list"
-                             : request.method() == methods::GET ? "get"
-                             : request.method() == methods::PUT ? "put"
-                                                                : "remove";
+  void CountCall(const http_request& request, const std::string& path) {
+    const std::string kind = path == "/watch"                      ? "watch"
+                             : path == "/objects"                  ? "list"
+                             : request.method() == http::verb::get ? "get"
+                             : request.method() == http::verb::put ? "put"
+                                                                   : "remove";
     ++stats_.calls[kind];
-    stats_.bytes_in += static_cast<std::int64_t>(bytes);
+    stats_.bytes_in += static_cast<std::int64_t>(request.body().size());
     const auto now = steady_clock::now();
     if (now - window_start_ >= std::chrono::seconds{1}) {
       window_start_ = now;
@@ -288,52 +275,52 @@
                   DumpJson(ToJson(store_.List(QueryValue(request, "prefix"))))};
     }
     if (!path.starts_with(kObjectPath)) {
-      return ErrorAnswer(status_codes::NotFound, "no such path");
+      return ErrorAnswer(http::status::not_found, "no such path");
     }
     const auto found = store_.Get(path.substr(kObjectPath.size()));
     if (found.version == 0) {
-      return ErrorAnswer(status_codes::NotFound, "no such object");
+      return ErrorAnswer(http::status::not_found, "no such object");
     }
     return {.body = DumpJson(ToJson(found))};
   }
 
-  answer Write(const http_request& request, const std::string& path,
-               std::string body) {
+  answer Write(const http_request& request, const std::string& path) {
     if (!path.starts_with(kObjectPath)) {
-      return ErrorAnswer(status_codes::NotFound, "no such path");
+      return ErrorAnswer(http::status::not_found, "no such path");
     }
+    const std::string& body = request.body();
     if (body.size() > kMaxValueBytes) {
-      return ErrorAnswer(status_codes::RequestEntityTooLarge, "too large");
+      return ErrorAnswer(http::status::payload_too_large, "too large");
     }
     if (!base::IsUtf8(body)) {
-      return ErrorAnswer(status_codes::BadRequest, "value is not UTF-8");
+      return ErrorAnswer(http::status::bad_request, "value is not UTF-8");
     }
     const std::string key = path.substr(kObjectPath.size());
-    const std::uint64_t version =
-        request.method() == methods::PUT
-            ? store_.Put(key, std::move(body), IfMatch(request))
-            : store_.Remove(key, IfMatch(request));
+    const std::uint64_t version = request.method() == http::verb::put
+                                      ? store_.Put(key, body, IfMatch(request))
+                                      : store_.Remove(key, IfMatch(request));
     if (version == 0) return Conflict(request, key);
     return {.body = DumpJson({{"version", version}})};
   }
 
   answer Conflict(const http_request& request, const std::string& key) {
     const std::uint64_t current = store_.Get(key).version;
-    if (current == 0 && request.method() == methods::DEL) {
-      return ErrorAnswer(status_codes::NotFound, "no such object");
+    if (current == 0 && request.method() == http::verb::delete_) {
+      return ErrorAnswer(http::status::not_found, "no such object");
     }
     ++stats_.conflicts;
-    return {.status = status_codes::Conflict,
+    return {.status = http::status::conflict,
             .body = DumpJson({{"error", "conflict"}, {"version", current}})};
   }
 
-  void HandleWatch(const http_request& request) {
-    pending_watch watch{.request = request,
+  void HandleWatch(const held_call_ptr& call) {
+    const http_request& request = call->Request();
+    pending_watch watch{.call = call,
                         .prefix = QueryValue(request, "prefix"),
                         .after = NumberOf(QueryValue(request, "after"))};
     const auto changed = store_.ChangedAfter(watch.prefix, watch.after);
     if (!changed.empty()) {
-      Reply(request, WatchAnswer(watch));
+      Reply(call, WatchAnswer(watch));
       return;
     }
     const milliseconds wait = std::min(
@@ -352,7 +339,7 @@
     const auto entry =
         std::ranges::find(pending_watches_, id, &registered_watch::id);
     if (entry == pending_watches_.end()) return;
-    Reply(entry->request,
+    Reply(entry->call,
           {.body = DumpJson(ToJson(std::vector<platform::object>{}))});
     pending_watches_.erase(entry);
   }
@@ -360,7 +347,7 @@
   void AnswerChangedWatches() {
     std::erase_if(pending_watches_, [this](const registered_watch& each) {
       if (store_.ChangedAfter(each.prefix, each.after).empty()) return false;
-      Reply(each.request, WatchAnswer(each));
+      Reply(each.call, WatchAnswer(each));
       return true;
     });
   }
@@ -380,17 +367,16 @@
     return {.body = DumpJson(ToJson(objects))};
   }
 
-  // Sends the answer, after the delay if there is one. The caller holds the
-  // lock; the library's reply does not block.
-  void Reply(const http_request& request, const answer& made) {
+  // Answers the call, after the delay if there is one. Called under the lock.
+  void Reply(const held_call_ptr& call, const answer& made) {
     stats_.bytes_out += static_cast<std::int64_t>(made.body.size());
     if (faults_.slow_ms == 0) {
-      Send(request, made);
+      call->Answer(made);
       return;
     }
     scheduled_actions_.emplace(
         steady_clock::now() + milliseconds{faults_.slow_ms},
-        [request, made] { Send(request, made); });
+        [call, made] { call->Answer(made); });
     timer_wakeup_.notify_all();
   }
 
@@ -411,12 +397,13 @@
   };
 
   base::address address_;
-  std::unique_ptr<http_listener> listener_;
+  std::unique_ptr<callers::http_service> service_;
   std::thread timer_;
 
   mutable std::mutex mutex_;  // Protects all members below.
   std::condition_variable timer_wakeup_;
   bool stopping_ = false;
+  bool is_open_ = false;
   platform_faults faults_;
   platform_store store_;
   platform_stats stats_;
@@ -424,7 +411,7 @@
   rate_limiter writes_;
   std::list<registered_watch> pending_watches_;
   std::uint64_t last_watch_id_ = 0;
-  std::list<http_request> unanswered_requests_;
+  std::vector<held_call_ptr> unanswered_calls_;
   std::multimap<steady_clock::time_point, std::function<void()>>
       scheduled_actions_;
   std::vector<platform::object> previous_watch_objects_;
@@ -434,7 +421,7 @@
 };
 
 platform_stand_in::platform_stand_in(platform_stand_in_options options)
-    : state_(std::make_shared<state>(std::move(options))) {}
+    : state_(std::make_unique<state>(std::move(options))) {}
 
 platform_stand_in::~platform_stand_in() { Stop(); }
 
--- a/lab/platform_stand_in.h
+++ b/lab/platform_stand_in.h
@@ -56,7 +56,7 @@
 
  private:
   class state;
-  std::shared_ptr<state> state_;
+  std::unique_ptr<state> state_;
 };
 
 // Implements the subcommand `platform`: runs a stand-in until SIGTERM or
--- a/lab/reverse_proxy_baseline.cc
+++ b/lab/reverse_proxy_baseline.cc
@@ -1,18 +1,35 @@
 #include "lab/reverse_proxy_baseline.h"
 
+#include <arpa/inet.h>
 #include <cpprest/http_client.h>
 #include <cpprest/http_listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <exception>
 
-#include "lab/platform_http.h"
-
 namespace fireflyspar::lab {
 namespace {
 
 using web::http::http_request;
 using web::http::http_response;
 
+// Returns a port that is free now, or zero if there is none. The library's
+// listener does not report which port it got when it binds to port 0.
+std::uint16_t FreePort() {
+  const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in wanted{};
+  wanted.sin_family = AF_INET;
+  wanted.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof wanted;
+  auto* generic = reinterpret_cast<sockaddr*>(&wanted);
+  const bool bound = ::bind(handle, generic, size) == 0 &&
+                     ::getsockname(handle, generic, &size) == 0;
+  ::close(handle);
+  return bound ? ntohs(wanted.sin_port) : 0;
+}
+
 void ForwardRequest(web::http::client::http_client& client,
                     const http_request& request) {
   http_request forwarded(request.method());
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -15,6 +15,7 @@
 #include "lab/platform_stand_in.h"
 #include "platform/http_object_api.h"
 #include "platform/object_formats.h"
+#include "tests/free_address.h"
 
 namespace fireflyspar::platform {
 
@@ -44,7 +45,7 @@
 }
 
 struct platform_fixture {
-  lab::platform_stand_in stand_in{{}};
+  lab::platform_stand_in stand_in{{.address = tests::FreeAddress()}};
   base::metrics metrics;
   object_api api;
 
