--- a/src/operators/http_server.cc
+++ b/src/operators/http_server.cc
@@ -88,7 +88,7 @@
   void Stop() { service_.Stop(); }
 
  private:
-  // A handler that takes long must not keep a health check waiting.
+  // A handler that takes long delays only the connections of its worker.
   static constexpr int kWorkers = 2;
 
   net::awaitable<http_response> Handle(const callers::incoming_request& call) {
