--- a/tests/backend_servers/answer_memory_test.cc
+++ b/tests/backend_servers/answer_memory_test.cc
@@ -143,8 +143,7 @@
   CHECK(client.Answers().UsedBytes() == 0);
 }
 
-// Guards against a limit so low, on a machine with little memory, that a long
-// answer waits for room until its deadline.
+// Guards against a long answer that waits in vain for more room than there is.
 TEST_CASE("an answer of any allowed size is read where there is least memory") {
   const auto how =
       GENERATE(framing::kLength, framing::kChunks, framing::kClose);
