--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -89,7 +89,7 @@
   return true;
 }
 
-bool backend_server::Report() {
+std::string backend_server::MakeHeartbeat() {
   json status;
   {
     const std::lock_guard lock(mutex_);
@@ -105,15 +105,23 @@
                        {"zone", options_.machine.zone},
                        {"slots", options_.machine.slots}}},
                      {"status", status}};
+  return EncodeBody(body);
+}
+
+bool backend_server::SendHeartbeat(const std::string& body) {
   const auto answer =
       Call(options_.control,
            {.method = "POST",
             .target = "/instances/" + options_.id + "/heartbeat",
             .headers = {{"Host", options_.control.Text()},
                         {"Content-Type", "application/cbor"}},
-            .body = EncodeBody(body)},
+            .body = body},
            kReportTimeout);
-  const bool is_acknowledged = answer && answer->status == kOk;
+  return answer && answer->status == kOk;
+}
+
+bool backend_server::Report() {
+  const bool is_acknowledged = SendHeartbeat(MakeHeartbeat());
   const std::lock_guard lock(mutex_);
   if (is_acknowledged && !acknowledged_at_) {
     acknowledged_at_ = steady::now();
@@ -127,7 +135,7 @@
 void backend_server::ReportUntilEnd() {
   Sleep(options_.start.first_beat);
   while (!has_ended_) {
-    Report();
+    if (!has_stopped_reports_) Report();
     const auto next = steady::now() + options_.beat;
     while (!has_ended_ && steady::now() < next) Sleep(kPoll);
   }
@@ -293,6 +301,17 @@
   log_->Write("the proxy of " + machines_[index].Options().name + " is killed");
 }
 
+void deployment::StopProxy(std::size_t index) {
+  const auto found = proxies_.find(index);
+  if (found == proxies_.end()) return;
+  log_->Write("the proxy of " + machines_[index].Options().name +
+              " gets SIGTERM");
+  ::kill(found->second, SIGTERM);
+  ::waitpid(found->second, nullptr, 0);
+  proxies_.erase(found);
+  log_->Write("the proxy of " + machines_[index].Options().name + " has ended");
+}
+
 bool deployment::Start() {
   if (::access(kProxyProgram, X_OK) != 0) return false;
   std::string name =
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -86,6 +86,12 @@
   bool Drain();
   // Says that the server leaves. Returns whether that was acknowledged.
   bool Leave();
+  // Sends no heartbeats from now on.
+  void StopReports() { has_stopped_reports_ = true; }
+  // Makes the next heartbeat, to be sent later.
+  std::string MakeHeartbeat();
+  // Sends a heartbeat. Returns whether it was acknowledged.
+  bool SendHeartbeat(const std::string& body);
   // Ends without a word.
   void End();
 
@@ -104,6 +110,7 @@
   std::int64_t born_ms_ = 0;
   std::atomic<int> runs_ = 0;
   std::atomic<bool> has_ended_ = false;
+  std::atomic<bool> has_stopped_reports_ = false;
   std::mutex mutex_;  // Protects the members below.
   bool is_draining_ = false;
   int sequence_ = 0;
@@ -152,6 +159,10 @@
   // Kills the proxy of the machine at `index`.
   void KillProxy(std::size_t index);
 
+  // Stops the proxy of the machine at `index` with SIGTERM, and waits until it
+  // has ended.
+  void StopProxy(std::size_t index);
+
   store& Store() { return *store_; }
 
   // Starts the backend server of the machine at `index`.
