--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,7 +1,7 @@
 // The operator orders a roll-out from v9 to v10; as many servers of v10 as of
-// v9 run beside each other. All proxies are killed and start again while the
-// store is slow. Some time later v10 turns bad. Counts the requests that reach
-// v10 long after that.
+// v9 run beside each other. Half of the proxies are killed and start again
+// while the store is slow. Some time later v10 turns bad. Counts the requests
+// that reach v10 long after that.
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -15,18 +15,25 @@
 namespace fireflyspar::review {
 namespace {
 
-constexpr std::size_t kFirstMachines = 4;
-constexpr std::size_t kMachines = 6;
+constexpr std::size_t kFirstMachines = 12;
+constexpr std::size_t kMachines = 14;
+
+// The machines whose proxies are killed: half of all. No server of the service
+// is beside them.
+constexpr std::size_t kFirstKilled = 2;
+constexpr std::size_t kKilled = 7;
 
 constexpr milliseconds kDeadline{1200};
 constexpr milliseconds kWork{20};
-// Between two requests of one machine's clients.
-constexpr milliseconds kBetween{10};
+// Between two requests of one machine's clients: at the machines whose proxies
+// are killed, and at the others.
+constexpr milliseconds kBetween{12};
+constexpr milliseconds kBetweenElsewhere{40};
 
-// The store's answers take 4 ms, and up to 99 times as long while it is slow.
+// The store's answers take 4 ms, and up to 60 times as long while it is slow.
 constexpr milliseconds kAnswerTime{4};
-constexpr milliseconds kSlowLeast{40};
-constexpr milliseconds kSlowMost{396};
+constexpr milliseconds kSlowLeast{10};
+constexpr milliseconds kSlowMost{240};
 constexpr milliseconds kSlowTime{1200};
 
 // From the order on.
@@ -134,6 +141,8 @@
 // The clients of one machine send requests until the end.
 void SendRequests(const endpoint& to, std::size_t index,
                   const std::atomic<bool>& is_over, observations& seen) {
+  const bool is_killed =
+      index >= kFirstKilled && index < kFirstKilled + kKilled;
   std::deque<std::thread> clients;
   while (!is_over) {
     clients.emplace_back([&to, index, &seen] {
@@ -142,8 +151,8 @@
       seen.OnSent(request.Header("Request-Id"), index);
       Call(to, request, kDeadline);
     });
-    std::this_thread::sleep_for(kBetween);
-    constexpr std::size_t kMostThreads = 200;
+    std::this_thread::sleep_for(is_killed ? kBetween : kBetweenElsewhere);
+    constexpr std::size_t kMostThreads = 120;
     if (clients.size() < kMostThreads) continue;
     clients.front().join();
     clients.pop_front();
@@ -172,6 +181,14 @@
             machine_of("sidecar-b-1", "khomas-b", "counter-desk", "v9", false),
             machine_of("sidecar-c-1", "khomas-c", "wallet-ledger", "v1", false),
             machine_of("sidecar-c-2", "khomas-c", "depot-ledger", "v1", false),
+            machine_of("sidecar-c-3", "khomas-c", "wallet-ledger", "v1", false),
+            machine_of("sidecar-c-4", "khomas-c", "depot-ledger", "v1", false),
+            machine_of("sidecar-a-3", "khomas-a", "wallet-ledger", "v1", false),
+            machine_of("sidecar-a-4", "khomas-a", "depot-ledger", "v1", false),
+            machine_of("sidecar-b-3", "khomas-b", "wallet-ledger", "v1", false),
+            machine_of("sidecar-b-4", "khomas-b", "depot-ledger", "v1", false),
+            machine_of("sidecar-a-5", "khomas-a", "wallet-ledger", "v1", false),
+            machine_of("sidecar-b-5", "khomas-b", "depot-ledger", "v1", false),
             machine_of("sidecar-a-2", "khomas-a", "counter-desk", "v10", true),
             machine_of("sidecar-b-2", "khomas-b", "counter-desk", "v10", true)},
        .configuration = MakeConfiguration(
@@ -230,10 +247,12 @@
   if (HasTrouble()) {
     log.Write("the store becomes slow");
     deployed.Store().SetAnswerTime(kSlowLeast, kSlowMost);
-    for (std::size_t i = 0; i < kMachines; ++i) deployed.KillProxy(i);
+    for (std::size_t i = 0; i < kKilled; ++i) {
+      deployed.KillProxy(kFirstKilled + i);
+    }
     std::this_thread::sleep_for(kRestartTime);
-    for (std::size_t i = 0; i < kMachines; ++i) {
-      if (!deployed.StartProxy(i)) return kCouldNotRun;
+    for (std::size_t i = 0; i < kKilled; ++i) {
+      if (!deployed.StartProxy(kFirstKilled + i)) return kCouldNotRun;
     }
     std::this_thread::sleep_until(trouble_at + kSlowTime);
     deployed.Store().SetAnswerTime(kAnswerTime, kAnswerTime);
