--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -40,7 +40,7 @@
 constexpr milliseconds kNewServersAfter{500};
 constexpr milliseconds kTroubleAfter{900};
 constexpr milliseconds kRestartTime{500};
-constexpr milliseconds kBadAfter{3900};
+constexpr milliseconds kBadAfter{3500};
 constexpr milliseconds kPeriod{16'000};
 
 // From the outcome until the operator drains the new servers.
--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -20,7 +20,7 @@
 constexpr milliseconds kLeavesAfter{150};
 constexpr milliseconds kWorkBeforeCall{300};
 constexpr milliseconds kWorkAfterCall{50};
-constexpr milliseconds kBetweenOrders{60};
+constexpr milliseconds kBetweenOrders{50};
 
 constexpr int kOk = 200;
 constexpr int kFailed = 500;
