--- a/review/15/scenario.cc
+++ b/review/15/scenario.cc
@@ -16,6 +16,9 @@
 constexpr double kDrainSeconds = 2.0;
 constexpr double kStableWindowSeconds = 3.0;
 
+// What a request may have waited since it was taken from its client.
+constexpr double kLongestWaitSeconds = 1.0;
+
 constexpr milliseconds kStaleBy{1000};
 constexpr milliseconds kStartTimeout{15'000};
 constexpr milliseconds kCalm{4000};
@@ -76,7 +79,8 @@
     int late_runs = 0;
     for (const server_run& each : leaving->Runs()) {
       const double late = each.at - acknowledged;
-      const bool is_in_touch = each.at > is_back + kStableWindowSeconds;
+      const bool is_in_touch =
+          each.at > is_back + kStableWindowSeconds + kLongestWaitSeconds;
       if (late <= kDrainSeconds || !is_in_touch) continue;
       ++late_runs;
       log_.Line("DRAIN broken: " + each.request_id + " reached the server " +
--- a/review/standins-3/mesh.cc
+++ b/review/standins-3/mesh.cc
@@ -28,6 +28,9 @@
 constexpr std::uint16_t kLastInternalPort = 7615;
 constexpr std::uint16_t kMetricsPort = 9464;
 
+// Bound `grace` of the settings.
+constexpr milliseconds kGrace{6000};
+
 constexpr milliseconds kReadyPoll{50};
 
 bool IsFree(const address& at) {
@@ -72,6 +75,7 @@
       log_(log) {
   const std::string network = FreeNetwork();
   store_ = {.ip = network + "200", .port = kStorePort};
+  second_store_ = {.ip = network + "201", .port = kStorePort};
   std::map<std::string, int> in_zone;
   for (std::size_t i = 0; i < zones.size(); ++i) {
     const std::string ip = network + std::to_string(i + 1);
@@ -84,7 +88,8 @@
          .inbound = {ip, kInboundPort},
          .ready = {ip, kReadyPort},
          .control = {ip, kControlPort},
-         .app = {ip, kAppPort}});
+         .app = {ip, kAppPort},
+         .store = store_});
   }
   proxies_.assign(machines_.size(), 0);
 }
@@ -128,7 +133,7 @@
        << "  rollback: \"5000ms\"\n  recover: \"15s\"\n"
        << "app_addr: " << quoted(of.app.Text())
        << "service: " << quoted(of.service) << "provider:\n"
-       << "  address: " << quoted(store_.Text())
+       << "  address: " << quoted(of.store.Text())
        << "  form: \"objects\"\n  writes_per_s: 400\n  reads_per_s: 2000\n"
        << "  history: \"20s\"\n  value_bytes: 1048576\n  ttl_min: \"1000ms\"\n";
 }
@@ -165,6 +170,24 @@
   log_.Line("proxy " + machines_[index].name + " killed");
 }
 
+void mesh::TerminateProxy(std::size_t index) {
+  if (proxies_[index] == 0) return;
+  ::kill(proxies_[index], SIGTERM);
+  log_.Line("proxy " + machines_[index].name + " gets SIGTERM");
+}
+
+void mesh::AwaitEnd(std::size_t index) {
+  const auto until = steady::now() + kGrace;
+  while (proxies_[index] != 0 && steady::now() < until) {
+    if (::waitpid(proxies_[index], nullptr, WNOHANG) > 0) {
+      proxies_[index] = 0;
+      log_.Line("proxy " + machines_[index].name + " has ended");
+    }
+    std::this_thread::sleep_for(kReadyPoll);
+  }
+  KillProxy(index);
+}
+
 bool mesh::AwaitReady(milliseconds timeout) {
   const auto until = steady::now() + timeout;
   request question(http::verb::get, "/ready", 11);
--- a/review/standins-3/mesh.h
+++ b/review/standins-3/mesh.h
@@ -23,6 +23,7 @@
   address ready;
   address control;
   address app;
+  address store;
 };
 
 class mesh {
@@ -34,12 +35,19 @@
   mesh& operator=(const mesh&) = delete;
 
   const address& Store() const { return store_; }
+  // Another address, for a store that has two.
+  const address& SecondStore() const { return second_store_; }
   std::vector<machine>& Machines() { return machines_; }
 
   // Starts the proxy of the machine with the command of the deploy file.
   void StartProxy(std::size_t index);
   void KillProxy(std::size_t index);
 
+  // Sends SIGTERM; the other waits for the end, and sends SIGKILL after
+  // `grace`.
+  void TerminateProxy(std::size_t index);
+  void AwaitEnd(std::size_t index);
+
   // Returns whether all that were started answer GET /ready with 200 within the
   // time.
   bool AwaitReady(milliseconds timeout);
@@ -51,6 +59,7 @@
   std::set<std::string> zones_;
   record& log_;
   address store_;
+  address second_store_;
   std::vector<machine> machines_;
   std::vector<pid_t> proxies_;
 };
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -1,6 +1,7 @@
 // A stand-in of the platform's store, as PROTOCOL.md describes it: objects by
 // kind and name, one revision counter, conditional writes, lists and watches.
-// Calls with `allow_stale` see the store as it was `stale_by` ago.
+// Calls with `allow_stale` see the store as it was `stale_by` ago. It may have
+// a second address, for machines that it can turn away.
 #ifndef FIREFLYSPAR_REVIEW_STANDINS_3_STORE_H_
 #define FIREFLYSPAR_REVIEW_STANDINS_3_STORE_H_
 
@@ -19,6 +20,9 @@
   store(const store&) = delete;
   store& operator=(const store&) = delete;
 
+  // Serves the machines that have this address, too.
+  void ListenAlso(const address& second);
+
   // Writes the spec as the operator does.
   void Put(const std::string& kind, const std::string& name, const json& spec);
 
@@ -26,6 +30,9 @@
   // watches that wait are cut off.
   void SetDown(bool is_down);
 
+  // The same for calls to the second address only.
+  void SetTurnsAway(bool turns_away);
+
   void Stop();
 
   // The spec of an object; null if there is none.
@@ -48,8 +55,10 @@
   using objects = std::map<std::string, json>;  // By name.
 
   static call_target Parse(std::string target);
-  std::optional<response> Serve(const request& call);
-  response Watch(const call_target& target, std::unique_lock<std::mutex>& lock);
+  std::optional<response> Serve(const request& call, bool is_second);
+  response Watch(const call_target& target, bool is_second,
+                 std::unique_lock<std::mutex>& lock);
+  bool Refuses(bool is_second) const;
   response Write(const request& call, const call_target& target);
   response Delete(const call_target& target);
 
@@ -68,8 +77,10 @@
   std::vector<change> changes_;
   std::uint64_t revision_ = 100;
   bool is_down_ = false;
+  bool turns_away_ = false;
   bool is_stopped_ = false;
   std::unique_ptr<http_server> server_;
+  std::unique_ptr<http_server> second_;
 };
 
 }  // namespace review
